--- a/bench/capacity.py
+++ b/bench/capacity/__main__.py
@@ -20,16 +20,16 @@
 
 from absl import app, flags
 
-from bench.capacity_changes import measure_changes
-from bench.capacity_control import measure_control
-from bench.capacity_heartbeats import measure_heartbeats
-from bench.capacity_log import measure_log
-from bench.capacity_machine import measure_machine
-from bench.capacity_policy import measure_policy
-from bench.capacity_polling import measure_polling
-from bench.capacity_relay import measure_relay
-from bench.capacity_slopes import Slopes
-from bench.capacity_target import work_out
+from bench.capacity.changes import measure_changes
+from bench.capacity.control import measure_control
+from bench.capacity.heartbeats import measure_heartbeats
+from bench.capacity.log import measure_log
+from bench.capacity.machine import measure_machine
+from bench.capacity.policy import measure_policy
+from bench.capacity.polling import measure_polling
+from bench.capacity.relay import measure_relay
+from bench.capacity.slopes import Slopes
+from bench.capacity.target import work_out
 
 _FOLDER = Path('build/capacity')
 _Part = Callable[[Path, int], Awaitable[Any]]
--- a/bench/capacity_changes.py
+++ b/bench/capacity/changes.py
@@ -5,11 +5,11 @@
 from pathlib import Path
 from typing import Any
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_light import LightEntries
-from bench.capacity_machine import many_upstreams
-from bench.capacity_samples import take_sample, usage_between
-from bench.capacity_system import CONTROLS_ONLY
+from bench.capacity.fits import fit_rows
+from bench.capacity.light import LightEntries
+from bench.capacity.machine import many_upstreams
+from bench.capacity.samples import take_sample, usage_between
+from bench.capacity.system import CONTROLS_ONLY
 from bench.cluster import Cluster, ClusterOptions
 from bench.processes import BenchError, poll_until
 
--- a/bench/capacity_control.py
+++ b/bench/capacity/control.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 from typing import Any
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_light import LightEntries
-from bench.capacity_samples import Usage, take_sample, usage_between
-from bench.capacity_system import CONTROLS_ONLY, leader_and_follower
+from bench.capacity.fits import fit_rows
+from bench.capacity.light import LightEntries
+from bench.capacity.samples import Usage, take_sample, usage_between
+from bench.capacity.system import CONTROLS_ONLY, leader_and_follower
 from bench.cluster import Cluster, ClusterOptions
 from bench.processes import BenchError, poll_until
 
--- a/bench/capacity_heartbeats.py
+++ b/bench/capacity/heartbeats.py
@@ -5,14 +5,14 @@
 from pathlib import Path
 from typing import Any
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_light import usual_report
-from bench.capacity_system import light_host
+from bench.capacity.fits import fit_rows
+from bench.capacity.light import usual_report
+from bench.capacity.system import light_host
 from snipebridge.clock import SystemClock
 from snipebridge.consensus.replica import make_replica
-from snipebridge.control_heartbeats import answer_heartbeat
-from snipebridge.control_leader import Leadership, Planners
-from snipebridge.control_rollouts import PlannedRollouts
+from snipebridge.control.heartbeats import answer_heartbeat
+from snipebridge.control.leader import Leadership, Planners
+from snipebridge.control.rollouts import PlannedRollouts
 from snipebridge.controllers.machine import make_control_machine
 from snipebridge.controllers.share_planner import make_share_planner
 from snipebridge.rpc.commands_pb2 import Command, EntryCommand
--- a/bench/capacity_light.py
+++ b/bench/capacity/light.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import dataclass, field
 
-from bench.capacity_system import light_host
+from bench.capacity.system import light_host
 from snipebridge.clock import SystemClock
 from snipebridge.controllers.link import ControlLink
 from snipebridge.controllers.view import ConfigurationView
--- a/bench/capacity_log.py
+++ b/bench/capacity/log.py
@@ -11,10 +11,10 @@
 
 import numpy as np
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_machine import make_bill
-from bench.capacity_samples import take_sample, usage_between
-from bench.capacity_system import (
+from bench.capacity.fits import fit_rows
+from bench.capacity.machine import make_bill
+from bench.capacity.samples import take_sample, usage_between
+from bench.capacity.system import (
     CONTROLS_ONLY,
     leader_and_follower,
     set_wall_time,
--- a/bench/capacity_machine.py
+++ b/bench/capacity/machine.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_samples import resident_bytes
+from bench.capacity.fits import fit_rows
+from bench.capacity.samples import resident_bytes
 from bench.layouts import (
     LARGE,
     POOL,
--- a/bench/capacity_policy.py
+++ b/bench/capacity/policy.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from bench.capacity_fits import fit_rows
+from bench.capacity.fits import fit_rows
 from bench.layouts import POOL, SMALL
 from snipebridge.clock import SystemClock
 from snipebridge.controllers.sessions import SessionDirectory, SessionTable
--- a/bench/capacity_polling.py
+++ b/bench/capacity/polling.py
@@ -5,11 +5,11 @@
 from pathlib import Path
 from typing import Any
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_machine import many_upstreams
-from bench.capacity_replicas import replica_host
-from bench.capacity_samples import take_sample, usage_between
-from bench.capacity_system import CONTROLS_ONLY
+from bench.capacity.fits import fit_rows
+from bench.capacity.machine import many_upstreams
+from bench.capacity.replicas import replica_host
+from bench.capacity.samples import take_sample, usage_between
+from bench.capacity.system import CONTROLS_ONLY
 from bench.cluster import Cluster, ClusterOptions
 from bench.processes import ChildProcess, cpu_seconds, fetch_json, free_ports
 
@@ -31,7 +31,7 @@
             'replicas',
             [
                 '-m',
-                'bench.capacity_replicas',
+                'bench.capacity.replicas',
                 f'--replicas={max(_COUNTS)}',
                 f'--port={port}',
             ],
--- a/bench/capacity_relay.py
+++ b/bench/capacity/relay.py
@@ -8,8 +8,8 @@
 
 import numpy as np
 
-from bench.capacity_fits import fit_rows
-from bench.capacity_samples import resident_bytes, take_sample, usage_between
+from bench.capacity.fits import fit_rows
+from bench.capacity.samples import resident_bytes, take_sample, usage_between
 from bench.cluster import Cluster, ClusterOptions
 from bench.figures import percentiles
 from bench.layouts import SMALL, SMALL_LAYOUT, EngineSpeed, TaskMix
--- a/bench/capacity_replicas.py
+++ b/bench/capacity/replicas.py
@@ -1,6 +1,6 @@
 """One process that stands for many replicas which only report.
 
-    python -m bench.capacity_replicas --replicas=690
+    python -m bench.capacity.replicas --replicas=690
 
 Each replica has a loopback address of its own and one common port. It answers
 `GET /load` and `GET /cache_events`, one request a connection. `GET /count`
--- a/bench/capacity_slopes.py
+++ b/bench/capacity/slopes.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bench.capacity_fits import Fit
+from bench.capacity.fits import Fit
 
 
 @dataclass(slots=True)
--- a/bench/capacity_target.py
+++ b/bench/capacity/target.py
@@ -1,7 +1,7 @@
 """Works the size of letter 1 out from the measured slopes."""
 
-from bench.capacity_fits import Fit, fit_line
-from bench.capacity_slopes import Figure, Slopes
+from bench.capacity.fits import Fit, fit_line
+from bench.capacity.slopes import Figure, Slopes
 
 ENTRIES = 340
 REPLICAS = 690
--- /dev/null
+++ b/bench/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions alone, on models of callers and replicas in one process."""
--- a/bench/policy_versions.py
+++ b/bench/policies/versions.py
@@ -1,6 +1,6 @@
 """Measures the policies for versions against baselines, without a cluster.
 
-Run ``python -m bench.policy_versions --seed=1``. It prints tables and, as the
+Run ``python -m bench.policies.versions --seed=1``. It prints tables and, as the
 last line, one JSON object with all figures.
 """
 
@@ -10,13 +10,13 @@
 import orjson
 from absl import app, flags
 
-from bench.policy_choice import (
+from bench.policies.choice import (
     ChoiceFigures,
     ChoiceStream,
     choice_settings,
     time_choice_us,
 )
-from bench.policy_exposure import (
+from bench.policies.exposure import (
     LIMIT_REQUESTS,
     LONGEST_S,
     DriftSetting,
--- /dev/null
+++ b/snipebridge/admin/__init__.py
@@ -0,0 +1,1 @@
+"""What operators ask of a control process over HTTP."""
--- a/snipebridge/admin_api.py
+++ b/snipebridge/admin/api.py
@@ -7,28 +7,28 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from snipebridge.admin_members import apply_member_change, read_member_change
-from snipebridge.admin_messages import (
+from snipebridge.admin.members import apply_member_change, read_member_change
+from snipebridge.admin.messages import (
     JSON_LINES_TYPE,
     AdminError,
     AdminRequest,
     AdminResponse,
     json_response,
 )
-from snipebridge.admin_pages import (
+from snipebridge.admin.pages import (
     bill_line,
     configuration_page,
     member_list,
     status_page,
 )
-from snipebridge.admin_patches import make_patch_command, make_patch_response
-from snipebridge.admin_routing import RoutingDesk
+from snipebridge.admin.patches import make_patch_command, make_patch_response
+from snipebridge.admin.routing import RoutingDesk
 from snipebridge.consensus.errors import (
     ConsensusError,
     NotLeaderError,
 )
-from snipebridge.control_leader import Leadership
-from snipebridge.control_metrics import ControlMetrics
+from snipebridge.control.leader import Leadership
+from snipebridge.control.metrics import ControlMetrics
 from snipebridge.errors import Ran
 from snipebridge.keys import verify_key
 from snipebridge.logs import log_decision
--- a/snipebridge/admin_forwarding.py
+++ b/snipebridge/admin/forwarding.py
@@ -6,8 +6,8 @@
 import orjson
 from grpc import aio
 
-from snipebridge.admin_api import AdminApi
-from snipebridge.admin_messages import AdminError, AdminRequest, AdminResponse
+from snipebridge.admin.api import AdminApi
+from snipebridge.admin.messages import AdminError, AdminRequest, AdminResponse
 from snipebridge.errors import Ran
 from snipebridge.rpc.channels import ChannelPool
 
--- a/snipebridge/admin_members.py
+++ b/snipebridge/admin/members.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from snipebridge.admin_messages import AdminError
+from snipebridge.admin.messages import AdminError
 from snipebridge.consensus.interfaces import Replica
 from snipebridge.rpc.consensus_pb2 import Member
 
--- a/snipebridge/admin_pages.py
+++ b/snipebridge/admin/pages.py
@@ -6,7 +6,7 @@
 from google.protobuf.json_format import MessageToDict
 
 from snipebridge.consensus.interfaces import Replica
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.controllers.bill_segments import NumberedBill
 
 _NUMBER_SUFFIXES = ('_tokens', '_micros', '_ms')
--- a/snipebridge/admin_patches.py
+++ b/snipebridge/admin/patches.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from snipebridge.admin_messages import (
+from snipebridge.admin.messages import (
     AdminError,
     AdminRequest,
     AdminResponse,
--- a/snipebridge/admin_routing.py
+++ b/snipebridge/admin/routing.py
@@ -12,13 +12,13 @@
 
 import orjson
 
-from snipebridge.admin_messages import (
+from snipebridge.admin.messages import (
     AdminError,
     AdminRequest,
     AdminResponse,
     json_response,
 )
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.logs import log_decision
 from snipebridge.routing.documents import read_table
 from snipebridge.routing.errors import DocumentError
--- a/snipebridge/admin.py
+++ b/snipebridge/admin/server.py
@@ -8,9 +8,9 @@
 from tornado.web import Application, RequestHandler
 from tornado.web import stream_request_body as reads_in_parts
 
-from snipebridge.admin_api import AdminApi
-from snipebridge.admin_messages import AdminError, AdminRequest, AdminResponse
-from snipebridge.control_metrics import ControlMetrics
+from snipebridge.admin.api import AdminApi
+from snipebridge.admin.messages import AdminError, AdminRequest, AdminResponse
+from snipebridge.control.metrics import ControlMetrics
 from snipebridge.metrics import RenderedMetrics
 from snipebridge.settings.models import ListenerSettings
 
--- a/snipebridge/cli/commands.py
+++ b/snipebridge/cli/commands.py
@@ -2,7 +2,7 @@
 
 A command gets its parsed flags, its arguments and the environment, and
 returns an exit code. Long-running commands live in `snipebridge.entry` and
-`snipebridge.control`.
+`snipebridge.control.process`.
 """
 
 import asyncio
@@ -43,7 +43,7 @@
 def run_control(flag_values, arguments, environment) -> ExitStatus:
     """Run the control process until TERM, then drain."""
     settings = _load_process_settings(flag_values)
-    from snipebridge.control import serve  # noqa: PLC0415 - other commands start faster without it
+    from snipebridge.control.process import serve  # noqa: PLC0415 - other commands start faster without it
 
     return _run_process(serve, settings, flag_values.settings)
 
--- a/snipebridge/clock.py
+++ b/snipebridge/clock.py
@@ -7,6 +7,8 @@
 import time
 from typing import Protocol
 
+_NS_PER_MS = 1_000_000
+_NS_PER_MS = 1_000_000
 _LEASE_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
@@ -35,4 +37,4 @@
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
-        return time.time_ns() // 1_000_000
+        return time.time_ns() // _NS_PER_MS
--- /dev/null
+++ b/snipebridge/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: its life cycle, and what its leader does in office."""
--- a/snipebridge/control_duties.py
+++ b/snipebridge/control/duties.py
@@ -4,10 +4,10 @@
 from collections.abc import Sequence
 
 from snipebridge.consensus.errors import ConsensusError
-from snipebridge.control_heartbeats import process_name
-from snipebridge.control_leader import Leadership
-from snipebridge.control_orders import Orders
-from snipebridge.control_patches import patch_by_system
+from snipebridge.control.heartbeats import process_name
+from snipebridge.control.leader import Leadership
+from snipebridge.control.orders import Orders
+from snipebridge.control.patches import patch_by_system
 from snipebridge.controllers.leases import EntryLease
 from snipebridge.controllers.planning import RolloutDecision
 from snipebridge.logs import log_decision, log_event
--- a/snipebridge/control_heartbeats.py
+++ b/snipebridge/control/heartbeats.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from snipebridge.control_leader import EntryList, Leadership
+from snipebridge.control.leader import EntryList, Leadership
 from snipebridge.controllers.leases import EntryReport
 from snipebridge.fleet.heartbeats import add_routed_part
 from snipebridge.rpc.control_pb2 import (
--- a/snipebridge/control_leader.py
+++ b/snipebridge/control/leader.py
@@ -12,7 +12,7 @@
 from snipebridge.clock import Clock
 from snipebridge.consensus.errors import ConsensusError
 from snipebridge.consensus.interfaces import Replica
-from snipebridge.control_withdrawals import make_withdrawals
+from snipebridge.control.withdrawals import make_withdrawals
 from snipebridge.controllers.leases import EntryLeases, InForce
 from snipebridge.controllers.machine import ControlMachine
 from snipebridge.controllers.members import EntryHost
--- a/snipebridge/control_metrics.py
+++ b/snipebridge/control/metrics.py
@@ -4,7 +4,7 @@
 
 import aioprometheus
 
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.rpc.commands_pb2 import Command, CommandResult
 
 _PREFIX = 'snipebridge_control_'
--- a/snipebridge/control_orders.py
+++ b/snipebridge/control/orders.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 from snipebridge.consensus.errors import ConsensusError
-from snipebridge.control_leader import Leadership
-from snipebridge.control_placement import (
+from snipebridge.control.leader import Leadership
+from snipebridge.control.placement import (
     EXCHANGE_LIMIT_S,
     READ_BACK_S,
     EndingVersions,
--- a/snipebridge/control_patches.py
+++ b/snipebridge/control/patches.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.controllers.configuration import SYSTEM_OPERATOR
 from snipebridge.logs import log_event
 from snipebridge.rpc.commands_pb2 import Command, CommandResult, PatchCommand
--- a/snipebridge/control_placement.py
+++ b/snipebridge/control/placement.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from snipebridge.clock import Clock
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.controllers.configuration_rules import withdrawn_versions
 from snipebridge.controllers.reports import Reports
 from snipebridge.logs import log_event
--- a/snipebridge/control.py
+++ b/snipebridge/control/process.py
@@ -10,18 +10,18 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from snipebridge.admin import make_admin_server
-from snipebridge.admin_api import AdminApi
-from snipebridge.admin_forwarding import GrpcForwarder, add_operators_to_server
+from snipebridge.admin.server import make_admin_server
+from snipebridge.admin.api import AdminApi
+from snipebridge.admin.forwarding import GrpcForwarder, add_operators_to_server
 from snipebridge.clock import Clock, SystemClock
 from snipebridge.consensus.interfaces import Replica
 from snipebridge.consensus.replica import make_replica
-from snipebridge.control_duties import LeaderDuties
-from snipebridge.control_leader import Leadership, Planners
-from snipebridge.control_metrics import ControlMetrics
-from snipebridge.control_orders import Orders, make_orders
-from snipebridge.control_rollouts import PlannedRollouts
-from snipebridge.control_service import ControlService
+from snipebridge.control.duties import LeaderDuties
+from snipebridge.control.leader import Leadership, Planners
+from snipebridge.control.metrics import ControlMetrics
+from snipebridge.control.orders import Orders, make_orders
+from snipebridge.control.rollouts import PlannedRollouts
+from snipebridge.control.service import ControlService
 from snipebridge.controllers.share_planner import make_share_planner
 from snipebridge.controllers.machine import ControlMachine, make_control_machine
 from snipebridge.errors import SnipebridgeError
--- a/snipebridge/control_service.py
+++ b/snipebridge/control/service.py
@@ -6,9 +6,9 @@
 import grpc
 
 from snipebridge.consensus.errors import ConsensusError, NotLeaderError
-from snipebridge.control_heartbeats import answer_heartbeat
-from snipebridge.control_leader import Leadership
-from snipebridge.control_metrics import ControlMetrics
+from snipebridge.control.heartbeats import answer_heartbeat
+from snipebridge.control.leader import Leadership
+from snipebridge.control.metrics import ControlMetrics
 from snipebridge.controllers.members import EntryHost
 from snipebridge.fleet.electorate import Candidate
 from snipebridge.rpc import control_pb2_grpc
--- a/snipebridge/controllers/learning.py
+++ b/snipebridge/controllers/learning.py
@@ -19,7 +19,12 @@
 # Share of a version under roll-out from which sessions may go to it.
 LEAST_SESSION_SHARE = 0.1
 # How far a score is trusted before anything is learned of the rater.
-RATER = Scorer(sensitivity=0.95, specificity=0.95, threshold=GOOD_SCORE)
+RATER_TRUST = 0.95
+RATER = Scorer(
+    sensitivity=RATER_TRUST,
+    specificity=RATER_TRUST,
+    threshold=GOOD_SCORE,
+)
 _PACE_SMOOTHING = 0.05
 _INITIAL_FIRST_TOKEN_S = 0.3
 _INITIAL_TOKENS_PER_S = 50.0
--- a/snipebridge/filters/chat.py
+++ b/snipebridge/filters/chat.py
@@ -35,6 +35,8 @@
 _JSON = 'application/json'
 _VERSION_HEADER = 'Snipebridge-Version'
 _RATING_TIMEOUT_S = 2.0
+# Keeps the pace of an answer that came at once finite.
+_SHORTEST_ANSWER_S = 0.001
 
 
 class StreamRelay:
@@ -251,7 +253,7 @@
             expected_quality=exchange.decision.expected_quality,
             first_token_s=_first_token_s(delivered, started_s),
             tokens_per_s=delivered.completion_tokens
-            / max(now_s - started_s, 1e-3),
+            / max(now_s - started_s, _SHORTEST_ANSWER_S),
         )
         self._parts.learning.note_answer(facts)
         self._parts.ratings.rate_later(exchange, facts)
--- a/snipebridge/fleet/duties.py
+++ b/snipebridge/fleet/duties.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 
 from snipebridge.consensus.errors import ConsensusError
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.fleet.electorate import MemberOrder, MemberView, next_order
 from snipebridge.fleet.software import SoftwareDuty
 from snipebridge.logs import log_decision, log_event
--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -1,6 +1,6 @@
 """The part of a heartbeat that concerns entries which route to services."""
 
-from snipebridge.control_leader import Leadership
+from snipebridge.control.leader import Leadership
 from snipebridge.controllers.software_rollouts import SoftwareRolloutState
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
--- a/snipebridge/listener.py
+++ b/snipebridge/listener.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Protocol
 
 import orjson
@@ -178,11 +179,11 @@
         """Answer what tornado refuses in the form of all errors."""
         error = BadRequestError(self._reason)
         error.status = status_code
-        if status_code == 404:
+        if status_code == HTTPStatus.NOT_FOUND:
             error.code = 'not_found'
-        elif status_code == 405:
+        elif status_code == HTTPStatus.METHOD_NOT_ALLOWED:
             error.code = 'method_not_allowed'
-        elif status_code >= 500:
+        elif status_code >= HTTPStatus.INTERNAL_SERVER_ERROR:
             error.code = 'internal'
             error.ran = Ran.UNKNOWN
         self.finish(self._prepare_error(error))
@@ -288,7 +289,7 @@
 
     def prepare(self) -> None:
         """Answer in the form of all errors."""
-        raise HTTPError(404, reason='Not Found')
+        raise HTTPError(HTTPStatus.NOT_FOUND, reason='Not Found')
 
 
 class _PageHandler(RequestHandler):
@@ -310,7 +311,7 @@
     def get(self, page: str) -> None:
         """Answer 200, or 503 on ``readyz`` while not ready."""
         if page == 'readyz' and not self.parts.state.is_ready():
-            self.set_status(503)
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             self.finish('not ready\n')
             return
         self.finish('ok\n')
--- a/snipebridge/policy/concurrency.py
+++ b/snipebridge/policy/concurrency.py
@@ -40,6 +40,8 @@
 MIN_LATENCY_S = 0.001
 # Steps of this size spread evenly over the unit interval.
 GOLDEN_STEP = 0.6180339887498949
+# The digest of a name is 32 bits wide.
+_DIGEST_BITS = 32
 
 
 @dataclass(slots=True)
@@ -159,4 +161,4 @@
 ) -> ConcurrencyLimit:
     """Return a limit that starts at the entry's part of the pool's slots."""
     digest = xxhash.xxh32_intdigest(entry.encode())
-    return ConcurrencyLimit(initial, offset=digest / 2**32)
+    return ConcurrencyLimit(initial, offset=digest / (1 << _DIGEST_BITS))
--- a/snipebridge/policy/replica_choices.py
+++ b/snipebridge/policy/replica_choices.py
@@ -6,8 +6,9 @@
 
 import random
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
+from snipebridge.policy.prefixes import PrefixBook
 from snipebridge.policy.replica_loads import (
     SLOW_START_S,
     PoolLoad,
@@ -19,20 +20,33 @@
     Weighed,
 )
 
-if TYPE_CHECKING:
-    from snipebridge.policy.replicas import ReplicaBook
-
 MOST_ENTRIES = 64.0
 ENTRIES_SMOOTHING = 0.05
 FAR_CHOICES_RATIO = 2
 
 
+class ReplicaKnowledge(Protocol):
+    """What an entry knows beyond the load of the single replica."""
+
+    own_data_centre: str
+    prefixes: PrefixBook
+
+    def weigh(
+        self,
+        track: ReplicaTrack,
+        request: ReplicaRequest,
+        outstanding: float,
+        now_s: float,
+    ) -> Weighed:
+        """Return the expected time to the first token at a replica."""
+
+
 class ReplicaChoice(Protocol):
     """A way to pick one of the replicas that may take a request."""
 
     def pick(
         self,
-        book: 'ReplicaBook',
+        book: ReplicaKnowledge,
         candidates: Sequence[ReplicaTrack],
         request: ReplicaRequest,
         now_s: float,
@@ -52,7 +66,7 @@
 
     def pick(
         self,
-        book: 'ReplicaBook',
+        book: ReplicaKnowledge,
         candidates: Sequence[ReplicaTrack],
         request: ReplicaRequest,
         now_s: float,
@@ -72,7 +86,7 @@
 
     def pick(
         self,
-        book: 'ReplicaBook',
+        book: ReplicaKnowledge,
         candidates: Sequence[ReplicaTrack],
         request: ReplicaRequest,
         now_s: float,
@@ -103,7 +117,7 @@
 
     def pick(
         self,
-        book: 'ReplicaBook',
+        book: ReplicaKnowledge,
         candidates: Sequence[ReplicaTrack],
         request: ReplicaRequest,
         now_s: float,
@@ -157,7 +171,7 @@
 
     def _sample(
         self,
-        book: 'ReplicaBook',
+        book: ReplicaKnowledge,
         tracks: Sequence[ReplicaTrack],
         request: ReplicaRequest,
         rng: random.Random,
--- a/snipebridge/policy/tiers.py
+++ b/snipebridge/policy/tiers.py
@@ -30,6 +30,8 @@
 # in the engine time that a step of the strongest model takes.
 _OUTPUT_WORTH = 10.0
 _OUTPUT_COST = 16.0
+# Keeps a price finite by what weighs next to nothing.
+_LEAST_WEIGHT = 0.01
 
 
 @dataclass(slots=True)
@@ -100,7 +102,7 @@
 
     def wanted(self, state: TierState) -> float:
         """Return the confidence that a draft needs to be kept."""
-        weight = max(0.01, state.weight)
+        weight = max(_LEAST_WEIGHT, state.weight)
         wanted = self._wanted * max(0.0, 1.0 - state.price / (2 * weight))
         if state.expected_s > state.objective_left_s:
             return min(wanted, CONFIDENCE_WANTED_LATE)
--- a/snipebridge/relay/choosing.py
+++ b/snipebridge/relay/choosing.py
@@ -20,7 +20,8 @@
 from snipebridge.relay.software import SoftwareChoice
 from snipebridge.routing.tables import Route
 
-_HASH_RANGE = 2**64
+# The digest of a path is 64 bits wide.
+_DIGEST_BITS = 64
 
 
 @dataclass(slots=True)
@@ -166,7 +167,7 @@
         return route.splits[0].service
     total = sum(split.weight for split in route.splits)
     digest = xxhash.xxh3_64_intdigest(f'{route.name}/{draw_key}'.encode())
-    drawn = digest / _HASH_RANGE
+    drawn = digest / (1 << _DIGEST_BITS)
     reached = 0.0
     for split in route.splits:
         reached += split.weight / total
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -8,6 +8,8 @@
 
 _MS_PER_S = 1000
 _LAST_EVENT_ID = 'last-event-id'
+# Far above each number that a header may hold.
+_NUMBER_LIMIT = 1_000_000_000
 # Concern one connection only (RFC 9110, 7.6.1); the length is set anew.
 _CONNECTION_HEADERS = frozenset(
     (
@@ -256,7 +258,9 @@
 def _read_number(found: dict[str, str], name: str) -> float:
     number = _number_or_none(found.get(name.lower(), ''))
     # Comparisons with a value that is no number are false.
-    return number if number is not None and 0 < number < 1e9 else 0.0
+    if number is None or not 0 < number < _NUMBER_LIMIT:
+        return 0.0
+    return number
 
 
 def _read_pair(found: dict[str, str], name: str) -> tuple[int, int]:
--- a/snipebridge/relay/pages.py
+++ b/snipebridge/relay/pages.py
@@ -1,6 +1,7 @@
 """Readiness and metrics of an entry, on addresses of their own."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 from tornado.web import Application, RequestHandler
 
@@ -17,8 +18,11 @@
 
     def get(self) -> None:
         """Answer 200 or 503."""
-        self.set_status(200 if self._is_ready() else 503)
-        self.finish('ok\n' if self._is_ready() else 'not ready\n')
+        if self._is_ready():
+            self.finish('ok\n')
+            return
+        self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.finish('not ready\n')
 
 
 class HealthHandler(RequestHandler):
--- a/snipebridge/relay/runs.py
+++ b/snipebridge/relay/runs.py
@@ -9,8 +9,10 @@
 from snipebridge.upstreams.errors import BrokenAnswerError
 
 _MS_PER_S = 1000
-_OK_STATUSES = range(200, 300)
-_SERVER_FAILURES = range(500, 600)
+# The first digit of a status tells its class.
+_STATUS_CLASS = 100
+_SUCCESS = 2
+_SERVER_FAILURE = 5
 
 
 class Run:
@@ -141,12 +143,12 @@
 
 def is_success(status: int) -> bool:
     """Tell whether a status is one of success."""
-    return status in _OK_STATUSES
+    return status // _STATUS_CLASS == _SUCCESS
 
 
 def is_server_failure(status: int) -> bool:
     """Tell whether a status says that the replica failed."""
-    return status in _SERVER_FAILURES
+    return status // _STATUS_CLASS == _SERVER_FAILURE
 
 
 def check_head(head: AnswerHead, attempt_id: str) -> None:
--- a/snipebridge/relay/watching.py
+++ b/snipebridge/relay/watching.py
@@ -19,6 +19,8 @@
 
 # A look compares two numbers; the age that is looked for is above a second.
 _LOOK_INTERVAL_S = 0.1
+# Parts of the interval of control: sooner than it, and apart from each other.
+_INTERVAL_PARTS = (0.4, 0.8)
 
 
 class ListFallback:
@@ -55,8 +57,8 @@
             if self._settings.fallback_after_s < age_s < float('inf'):
                 await self._read(age_s)
                 # Entries that lost control together do not ask together.
-                interval_s = self._settings.interval_s
-                await asyncio.sleep(interval_s * self._rng.uniform(0.4, 0.8))
+                part = self._rng.uniform(*_INTERVAL_PARTS)
+                await asyncio.sleep(self._settings.interval_s * part)
 
     async def _read(self, age_s: float) -> None:
         try:
--- a/snipebridge/upstreams/client.py
+++ b/snipebridge/upstreams/client.py
@@ -28,6 +28,7 @@
 _BODY_LIMIT_BYTES = 67_108_864
 _FIRST_FINAL_STATUS = 200
 _MS_PER_S = 1000
+_DEFAULT_PORTS = {'http': 80, 'https': 443}
 
 
 @dataclass(slots=True)
@@ -283,7 +284,7 @@
         connecting = asyncio.get_running_loop().create_connection(
             lambda: protocol,
             parts.hostname,
-            parts.port or (443 if secure else 80),
+            parts.port or _DEFAULT_PORTS[parts.scheme],
             ssl=self._tls if secure else None,
         )
         try:
--- a/snipebridge/upstreams/engine.py
+++ b/snipebridge/upstreams/engine.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, Protocol
 
 import orjson
@@ -209,7 +210,7 @@
             'fencing_number': order.fencing_number,
         }
         answer = await self._post(f'{url}/orders', fields)
-        if answer.status == 409:
+        if answer.status == HTTPStatus.CONFLICT:
             return False
         _check_status(answer)
         return True
--- a/snipebridge/upstreams/replica_list.py
+++ b/snipebridge/upstreams/replica_list.py
@@ -24,7 +24,8 @@
 _PAGES_LIMIT = 200
 _OK_STATUS = 200
 _STATES = frozenset(('ready', 'draining'))
-_UINT32_LIMIT = 2**32
+# Lists travel to entries in fields of this width.
+_NUMBER_BITS = 32
 
 
 @dataclass(slots=True)
@@ -145,7 +146,7 @@
     found = entry[name]
     if isinstance(found, bool) or not isinstance(found, int | float):
         raise TypeError(f'{name}: found {found!r}, allowed is a number')
-    if not 0 <= found < _UINT32_LIMIT:
+    if not 0 <= found < (1 << _NUMBER_BITS):
         raise ValueError(f'{name}: found {found!r}, allowed is 0 or more')
     return int(found)
 
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from bench.capacity_fits import fit_line, fit_rows
-from bench.capacity_replicas import Reports, replica_host
-from bench.capacity_samples import Sample, usage_between
-from bench.capacity_slopes import Figure, Slopes
-from bench.capacity_target import MEMORY_BUDGET_BYTES
+from bench.capacity.fits import fit_line, fit_rows
+from bench.capacity.replicas import Reports, replica_host
+from bench.capacity.samples import Sample, usage_between
+from bench.capacity.slopes import Figure, Slopes
+from bench.capacity.target import MEMORY_BUDGET_BYTES
 
 
 def test_line_through_points_on_a_line():
--- a/tests/test_control_cluster.py
+++ b/tests/control/test_cluster.py
@@ -10,7 +10,7 @@
 from bench.processes import free_ports
 from snipebridge.clock import SystemClock
 from snipebridge.consensus.replica import make_replica
-from snipebridge.control import make_control
+from snipebridge.control.process import make_control
 from snipebridge.controllers.machine import make_control_machine
 from snipebridge.rpc.channels import make_channel
 from snipebridge.rpc.control_pb2 import HeartbeatRequest, SubmitRequest
--- a/tests/test_control_orders.py
+++ b/tests/control/test_orders.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from snipebridge import control_orders
-from snipebridge.control_duties import LeaderDuties
-from snipebridge.control_orders import RESEND_S, make_orders
-from snipebridge.control_placement import READ_BACK_S, RUN_LIMIT_S
+from snipebridge.control import orders as control_orders
+from snipebridge.control.duties import LeaderDuties
+from snipebridge.control.orders import RESEND_S, make_orders
+from snipebridge.control.placement import READ_BACK_S, RUN_LIMIT_S
 from snipebridge.policy.placement import (
     FIRST_BACKOFF_S,
     ORDER_TIMEOUT_S,
--- a/tests/test_control.py
+++ b/tests/control/test_process.py
@@ -7,9 +7,9 @@
 import pytest
 from grpc import aio
 
-from snipebridge.control import make_control
-from snipebridge.control_duties import ENTRY_SILENT_LIMIT_S, LeaderDuties
-from snipebridge.control_leader import Planners
+from snipebridge.control.process import make_control
+from snipebridge.control.duties import ENTRY_SILENT_LIMIT_S, LeaderDuties
+from snipebridge.control.leader import Planners
 from snipebridge.controllers.machine import make_control_machine
 from snipebridge.controllers.planning import NoRollouts, RolloutDecision
 from snipebridge.rpc.commands_pb2 import RAN_UNKNOWN
--- a/tests/test_control_rollouts.py
+++ b/tests/control/test_rollouts.py
@@ -1,6 +1,6 @@
 """Plans of roll-outs across configurations and leaders."""
 
-from snipebridge.control_rollouts import PlannedRollouts
+from snipebridge.control.rollouts import PlannedRollouts
 from snipebridge.controllers.rollouts import RolloutProgress
 from snipebridge.rpc.control_pb2 import VersionOutcome
 from tests.controllers.commands import DOCUMENT
--- a/tests/test_control_joining.py
+++ b/tests/fleet/test_joining.py
@@ -4,7 +4,7 @@
 
 from bench.processes import free_ports
 from snipebridge.consensus.replica import make_replica
-from snipebridge.control import make_control
+from snipebridge.control.process import make_control
 from snipebridge.controllers.machine import make_control_machine
 from snipebridge.rpc.commands_pb2 import Command, RoutingCommand
 from snipebridge.settings.models import (
--- a/tests/running_control.py
+++ b/tests/running_control.py
@@ -6,7 +6,7 @@
 from grpc import aio
 from tornado.httpclient import AsyncHTTPClient
 
-from snipebridge.control import make_control
+from snipebridge.control.process import make_control
 from snipebridge.controllers.machine import make_control_machine
 from snipebridge.keys import make_key_hash
 from snipebridge.rpc.control_pb2 import HeartbeatRequest, SubmitRequest
