Try policies on a model of engines, and soak the real processes in faults

Ruled out: reusing the queue model (no batches, no memory, one model); a soak inside the test fake (it could not kill, freeze or lose a folder); filling a disk by a process limit, as limits stay as they are; setting clocks, which needs rights that the soak has not.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN = $(VENV)/bin
 SCENARIO ?= all
 SEED ?= 1
+MINUTES ?= 0.5
 
-.PHONY: all install codestyle format test demo platform-demo run bench capacity dist proto explore clean
+.PHONY: all install codestyle format test demo platform-demo run bench capacity dist proto explore experiment soak clean
 
 all: install codestyle test
 
@@ -40,6 +41,12 @@
 capacity: install
 	$(BIN)/python -m bench.capacity
 
+experiment: install
+	$(BIN)/python -m bench.engines
+
+soak: install
+	$(BIN)/python -m bench.soak --seeds=$(SEED) --minutes=$(MINUTES)
+
 explore: install
 	$(BIN)/python -m bench.explore --schedules=10000
 
--- a/bench/platform_system.py
+++ b/bench/platform_system.py
@@ -9,6 +9,7 @@
 import json
 import os
 import signal
+from collections.abc import Sequence
 from pathlib import Path
 
 from tornado.httpclient import AsyncHTTPClient
@@ -25,7 +26,14 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 CONTROLS = tuple(f'127.0.4.{number}' for number in (1, 2, 3))
-ENTRIES = tuple(f'127.0.5.{number}' for number in (1, 2))
+
+
+def entry_hosts(count: int) -> tuple[str, ...]:
+    """Return the addresses of so many entries."""
+    return tuple(f'127.0.5.{number + 1}' for number in range(count))
+
+
+ENTRIES = entry_hosts(2)
 THRESHOLDS = {
     'revocation_ms': 5000,
     'drain_ms': 3000,
@@ -42,19 +50,19 @@
 class PlatformSystem:
     """Three control processes, two entries, and the platform around them."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        replicas: Sequence[PlatformReplica] = (),
+        entries: Sequence[str] = ENTRIES,
+    ) -> None:
         """Choose ports that are free on all addresses."""
         self.folder = folder
+        self.entries = entries
         ports = free_ports(5)
         self.callers, self.ready, self.control, self.rpc, self.pages = ports
         self.document = copy.deepcopy(DOCUMENT)
-        self.replicas = [
-            PlatformReplica(f'd{number}', 'desk', '127.0.0.1')
-            for number in range(2)
-        ] + [
-            PlatformReplica(f'm{number}', 'models', '127.0.0.1')
-            for number in range(3)
-        ]
+        self.replicas = list(replicas) or _few_replicas()
         self.list = PlatformList(self.replicas)
         self.processes: dict[str, ChildProcess] = {}
         self.attempts = 0
@@ -66,10 +74,10 @@
         self.list.start()
         for host in CONTROLS:
             self.start(host, bootstrap=True)
-        for host in ENTRIES:
+        for host in self.entries:
             self.start(host)
         await self.put(self.document)
-        for host in ENTRIES:
+        for host in self.entries:
             await self.until_ready(host)
         return self
 
@@ -86,7 +94,7 @@
         role = 'control' if host in CONTROLS else 'entry'
         template = (ROOT / 'platform' / f'{role}.toml').read_text()
         settings = self.folder / f'{host}.toml'
-        self.folder.mkdir(exist_ok=True)
+        self.folder.mkdir(parents=True, exist_ok=True)
         settings.write_text(render(template, self._fields(host, bootstrap)))
         argv = ['-m', 'snipebridge', role, f'--settings={settings}']
         process = self.processes.setdefault(
@@ -122,7 +130,7 @@
     async def until_ready(self, host: str, *, ready: bool = True) -> None:
         """Wait until the balancer would use an entry, or would not."""
         while True:
-            status, _ = await _fetch(f'http://{host}:{self.ready}/readyz')
+            status, _ = await fetch(f'http://{host}:{self.ready}/readyz')
             if (status == 200) is ready:
                 return
             await asyncio.sleep(0.05)
@@ -131,7 +139,7 @@
         """Wait until a control process takes part again."""
         status = 0
         while status != 200:
-            status, _ = await _fetch(f'http://{host}:{self.control}/readyz')
+            status, _ = await fetch(f'http://{host}:{self.control}/readyz')
             await asyncio.sleep(0.05)
 
     async def ask(self, path: str, host: str = '', **options):
@@ -168,7 +176,7 @@
         for attempt in range(200):
             target = hosts[attempt % len(hosts)]
             url = f'http://{target}:{self.control}/admin/v1/{page}'
-            status, answer = await _fetch(url, method, body)
+            status, answer = await fetch(url, method, body)
             if 200 <= status < 500:
                 return answer
             await asyncio.sleep(0.05)
@@ -194,7 +202,17 @@
         }
 
 
-async def _fetch(url, method='GET', body=None):
+def _few_replicas() -> list[PlatformReplica]:
+    return [
+        PlatformReplica(f'd{number}', 'desk', '127.0.0.1')
+        for number in range(2)
+    ] + [
+        PlatformReplica(f'm{number}', 'models', '127.0.0.1')
+        for number in range(3)
+    ]
+
+
+async def fetch(url, method='GET', body=None):
     """Return status and JSON body; 599 where there is no answer."""
     try:
         response = await AsyncHTTPClient().fetch(
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -106,6 +106,10 @@
         """Ask the process to drain and leave (TERM)."""
         self.send_signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Tell the process that its settings changed (HUP)."""
+        self.send_signal(signal.SIGHUP)
+
     async def wait(self, timeout_s: float) -> int:
         """Wait for the end; return the exit status."""
         await poll_until(
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: the real processes under seeded faults from outside."""
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -46,6 +46,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    # By the clock of the event loop.
+    arrived_s: float = 0.0
     outcome: str = 'arrived'
 
     @property
@@ -264,6 +266,7 @@
         parsed.target.decode(),
         parsed.headers,
         parsed.body,
+        asyncio.get_running_loop().time(),
     )
 
 
