Let many entries choose replicas well on old and thin knowledge

Played on the model of engines with 83 entries and 30 replicas: each entry weighs all replicas by reports that are some tenths of a second old, so all take the same one until the next report, and an entry that sees 1.6 requests a second has few samples of a strong model's pace.

Heartbeats come each 0.2 s on the platform, and further apart where entries are many, so that a leader answers 400 a second at most; loads travel by place in the list instead of by name (60 replicas: under 300 bytes).

--- a/bench/capacity/light.py
+++ b/bench/capacity/light.py
@@ -46,13 +46,15 @@
 class LightReporter:
     """Fills in a report of usual size and counts bytes both ways."""
 
-    __slots__ = ('_entries_digest', '_report_id', '_traffic')
+    __slots__ = ('_entries_digest', '_report_id', '_traffic', 'entry_count')
 
     def __init__(self, traffic: Traffic) -> None:
         """Count into the traffic of all."""
         self._traffic = traffic
         self._report_id = 0
         self._entries_digest = 0
+        # The interval of the settings is what is measured here.
+        self.entry_count = 1
 
     def fill(self, request: HeartbeatRequest) -> None:
         """Add outcomes, ratings and demands."""
--- a/bench/engines/callers.py
+++ b/bench/engines/callers.py
@@ -16,8 +16,8 @@
 # How far a model's own opinion of an answer follows from how hard the request
 # was for it, in points of confidence, and how much of it is chance.
 _CONFIDENCE_MIDDLE = 50.0
-_CONFIDENCE_BY_MARGIN = 90.0
-_CONFIDENCE_NOISE = 14.0
+_CONFIDENCE_BY_MARGIN = 164.0
+_CONFIDENCE_NOISE = 7.5
 
 
 @dataclass(slots=True, frozen=True)
--- a/bench/engines/deployments.py
+++ b/bench/engines/deployments.py
@@ -65,6 +65,7 @@
     shared: tuple[PartFigures, ...]
     own_tokens: PartFigures
     events: PartFigures
+    request_bytes: int
     # What an answer that does not help its caller is worth.
     poor_worth_share: float = 0.05
 
@@ -80,9 +81,12 @@
     engine: EngineFigures
     models: tuple[ModelFigures, ...]
     kinds: tuple[RequestKind, ...]
-    # One way to another data centre, and the time between two heartbeats.
+    data_centres: int = 3
+    # Price of a gigabyte between data centres, in worth.
+    far_price_per_gb: float = 2300.0
+    # One way to a replica, and the time between two heartbeats.
     way_s: float = 0.001
-    heartbeat_s: float = 0.5
+    heartbeat_s: float = 0.4
 
 
 _MODELS = (
@@ -112,6 +116,7 @@
             ),
             own_tokens=PartFigures(2890.0, 1.0, 18_300, 1),
             events=PartFigures(17.4, 1.4, 69, 1),
+            request_bytes=18_000,
         ),
         RequestKind(
             name='summary',
@@ -128,6 +133,7 @@
             ),
             own_tokens=PartFigures(1800.0, 1.3, 6870, 1),
             events=PartFigures(7.52, 1.4, 30, 1),
+            request_bytes=4700,
         ),
         RequestKind(
             name='chat',
@@ -144,6 +150,7 @@
             ),
             own_tokens=PartFigures(543.0, 0.89, 2310, 1),
             events=PartFigures(78.0, 0.7, 184, 1),
+            request_bytes=1400,
         ),
     )
 
@@ -181,6 +188,7 @@
         engine=EngineFigures(batch=96, queue=201, memory_tokens=278_341),
         models=_MODELS,
         kinds=_kinds((4.0, 2.0, 2.0), 1.0),
+        data_centres=4,
         way_s=0.0014,
     ),
 }
--- a/bench/engines/figures.py
+++ b/bench/engines/figures.py
@@ -22,8 +22,9 @@
     asked: int
     # Worth that callers got, by what they would have got at best.
     worth_share: float
-    # The same, less the price of the models.
+    # The same, less the prices of models and of bytes far away.
     net_share: float
+    far_price_share: float
     worth_per_s: float
     in_time_share: float
     whole_share: float
@@ -49,7 +50,8 @@
     """
     best = sum(outcome.request.kind.worth for outcome in outcomes)
     got = sum(outcome.worth for outcome in outcomes)
-    price = sum(outcome.price for outcome in outcomes)
+    far_price = sum(outcome.far_price for outcome in outcomes)
+    price = far_price + sum(outcome.price for outcome in outcomes)
     whole = [outcome for outcome in outcomes if outcome.is_whole]
     asked = max(1, len(outcomes))
     waits_ms = [
@@ -67,6 +69,7 @@
         asked=len(outcomes),
         worth_share=round(got / max(best, 1e-9), 3),
         net_share=round((got - price) / max(best, 1e-9), 3),
+        far_price_share=round(far_price / max(best, 1e-9), 4),
         worth_per_s=round(got / duration_s, 2),
         in_time_share=round(
             sum(outcome.is_in_time for outcome in whole) / asked, 3
--- a/bench/engines/serving.py
+++ b/bench/engines/serving.py
@@ -8,14 +8,19 @@
 from bench.engines.engine import Engine, Run
 from bench.engines.ways import Way
 from bench.policies.event_loop import Loop
+from snipebridge.fleet.loads import FleetLoads, pack_loads
+from snipebridge.fleet.paces import FleetPaces
 from snipebridge.policy.engine_placement import PromptShape, ReplicaLoad
 from snipebridge.policy.pace import PaceBook
 from snipebridge.policy.pool_price import PoolPrice
 from snipebridge.policy.tiers import TierState, time_worth
-from snipebridge.relay.replicas import Replica
+from snipebridge.relay.replicas import Replica, ReplicaBook
 
 _MS_PER_S = 1000.0
 _ATTEMPTS = 3
+# One event of a stream with its framing, at an entry.
+_EVENT_BYTES = 100
+_BYTES_PER_GB = 1e9
 # Part of the price of a token generated that one read costs.
 _READ_PRICE_SHARE = 0.25
 # After the last arrival, until all that runs has ended or was given up.
@@ -33,7 +38,9 @@
     is_good: bool = False
     is_refused: bool = False
     attempts: int = 0
+    # Of the models, and of bytes between data centres.
     price: float = 0.0
+    far_price: float = 0.0
 
     @property
     def worth(self) -> float:
@@ -52,6 +59,8 @@
         """Build the parts."""
         self.deployment = deployment
         self.loop = Loop()
+        self.loads = FleetLoads()
+        self.paces = FleetPaces()
         self.models = {model.name: model for model in deployment.models}
         self.tiers = tuple(self.models)
         self.engines = {
@@ -70,11 +79,18 @@
             self.outcomes.append(Outcome(request))
             self._arrive_later(self.outcomes[-1])
         for entry in self.entries:
-            self.loop.every(self.deployment.heartbeat_s, entry.hear_of_others)
+            self._beat_later(entry)
         end_s = requests[-1].arrived_s if requests else 0.0
         self.loop.run_until(end_s + _DRAIN_S)
         return self.outcomes
 
+    def _beat_later(self, entry: 'Entry') -> None:
+        interval_s = self.deployment.heartbeat_s
+        phase_s = entry.rng.random() * interval_s
+        self.loop.after(
+            phase_s, lambda: self.loop.every(interval_s, entry.beat)
+        )
+
     def _arrive_later(self, outcome: Outcome) -> None:
         entry = self.entries[outcome.request.entry]
         self.loop.after(
@@ -91,28 +107,37 @@
     ) -> None:
         """Start with idle replicas."""
         self.serving = serving
-        self.rng = random.Random(f'{seed} entry {number}')
+        self.name = f'entry-{number}'
+        self.rng = random.Random(f'{seed} {self.name}')
         self.placing = way.placing()
         self.tiering = way.tiering()
         self.paces = PaceBook()
         self.price = PoolPrice()
-        self.replicas = {
-            name: Replica(name, 's', name, '', '', engine.figures.batch)
-            for name, engine in serving.engines.items()
+        self.book = ReplicaBook()
+        self.book.by_id = {
+            name: Replica(
+                name,
+                's',
+                name,
+                data_centre=str(place % serving.deployment.data_centres),
+                software='',
+                slots=engine.figures.batch,
+            )
+            for place, (name, engine) in enumerate(serving.engines.items())
         }
+        self.data_centre = str(number % serving.deployment.data_centres)
 
-    def hear_of_others(self) -> None:
-        """Take what the other entries have under way, as the leader tells."""
-        for name, replica in self.replicas.items():
-            others = [
-                entry.replicas[name]
-                for entry in self.serving.entries
-                if entry is not self
-            ]
-            replica.others_running = sum(one.running for one in others)
-            replica.others_backlog_ms = int(
-                sum(one.backlog_ms for one in others)
-            )
+    def beat(self) -> None:
+        """Tell the leader what is under way here; hear of the others."""
+        now_s = self.serving.loop.now_s
+        loads = self.serving.loads
+        loads.take(self.name, self.book.own_uses(), now_s)
+        others = loads.of_others(self.name, now_s)
+        self.book.take_loads(pack_loads(0, self.book.by_id, others))
+        paces = self.serving.paces
+        paces.take(self.name, self.paces.learned(), now_s)
+        for one in paces.middle(now_s):
+            self.paces.hear(one.model, one.ms_per_token)
 
     def loads(
         self, request: Request, model: str, excluded: set[str]
@@ -126,9 +151,9 @@
                 slots=replica.slots,
                 backlog_ms=replica.work_ahead_ms,
                 cached_tokens=_cached_tokens(replica, request, model),
-                failure_share=0.0,
+                is_far=replica.data_centre != self.data_centre,
             )
-            for replica in self.replicas.values()
+            for replica in self.book.by_id.values()
             if replica.id not in excluded
         ]
 
@@ -150,6 +175,7 @@
         self._backlog_ms = 0.0
         self._uncached_tokens = 0
         self._excluded: set[str] = set()
+        self._is_far = False
         self._is_over = False
 
     def go_on(self) -> None:
@@ -213,7 +239,8 @@
         )
         self._uncached_tokens = placement.uncached_tokens
         self._backlog_ms = placement.uncached_tokens * pace.ms_per_token
-        self._replica = self._entry.replicas[placement.replica]
+        self._replica = self._entry.book.by_id[placement.replica]
+        self._is_far = self._replica.data_centre != self._entry.data_centre
         self._replica.running += 1
         self._replica.backlog_ms += self._backlog_ms
         self._engine = self._entry.serving.engines[placement.replica]
@@ -306,6 +333,12 @@
     def _pay(self, run: Run) -> None:
         tokens = run.made_tokens + _READ_PRICE_SHARE * run.prompt_tokens
         self._outcome.price += run.model.price * tokens / 1000
+        deployment = self._entry.serving.deployment
+        events = run.made_tokens / deployment.engine.tokens_per_event
+        carried = self._request.kind.request_bytes + _EVENT_BYTES * events
+        if self._is_far:
+            price = deployment.far_price_per_gb * carried / _BYTES_PER_GB
+            self._outcome.far_price += price
 
 
 def _shape(request: Request, model: str) -> PromptShape:
--- a/snipebridge/controllers/link.py
+++ b/snipebridge/controllers/link.py
@@ -31,6 +31,11 @@
 _HEARTBEAT_TIMEOUT_S = 0.8
 _SUBMIT_TIMEOUT_S = 2.0
 _RETRY_PAUSE_S = 0.05
+# Heartbeats that a leader on a small share of a core answers in a second, from
+# all entries together: docs/CAPACITY.md has its time for one.
+_FLEET_HEARTBEATS_PER_S = 400.0
+# A lease lasts several heartbeats, however many entries there are.
+_LONGEST_INTERVAL_S = 0.8
 # Members of the log and seeds of the settings, of which some may be gone.
 _ADDRESSES_LIMIT = 12
 
@@ -38,6 +43,9 @@
 class Reporter(Protocol):
     """Fills in what a heartbeat reports and takes what comes back."""
 
+    # How many entries share the leader, as it told last.
+    entry_count: int
+
     def fill(self, request: HeartbeatRequest) -> None:
         """Add the sums since the last acknowledged report."""
 
@@ -119,12 +127,11 @@
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
-        interval_s = self._settings.entry.heartbeat_interval_s
         while True:
             started_s = self._clock.monotonic_s()
             succeeded = await self.beat()
             spent_s = self._clock.monotonic_s() - started_s
-            pause_s = interval_s if succeeded else _RETRY_PAUSE_S
+            pause_s = self._interval_s() if succeeded else _RETRY_PAUSE_S
             await self._pause(max(_RETRY_PAUSE_S, pause_s - spent_s))
 
     def set_seeds(self, addresses: Sequence[str]) -> None:
@@ -174,6 +181,12 @@
         """Close the channels."""
         await self._pool.close()
 
+    def _interval_s(self) -> float:
+        return heartbeat_interval_s(
+            self._settings.entry.heartbeat_interval_s,
+            self._reporter.entry_count,
+        )
+
     async def _pause(self, pause_s: float) -> None:
         with suppress(TimeoutError):
             await asyncio.wait_for(self._urgent.wait(), pause_s)
@@ -235,6 +248,18 @@
             self._pool.discard(address)
 
 
+def heartbeat_interval_s(configured_s: float, entry_count: int) -> float:
+    """Return the time between heartbeats: longer where entries are many.
+
+    >>> heartbeat_interval_s(0.2, 9), heartbeat_interval_s(0.2, 160)
+    (0.2, 0.4)
+    >>> heartbeat_interval_s(0.2, 5000), heartbeat_interval_s(1.5, 5000)
+    (0.8, 1.5)
+    """
+    shared_s = entry_count / _FLEET_HEARTBEATS_PER_S
+    return max(configured_s, min(_LONGEST_INTERVAL_S, shared_s))
+
+
 def make_control_link(
     settings: Settings, clock: Clock, reporter: Reporter
 ) -> ControlLink:
--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -2,9 +2,11 @@
 
 from snipebridge.control.leader import Leadership
 from snipebridge.controllers.software_rollouts import SoftwareRolloutState
+from snipebridge.fleet.loads import pack_loads
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
+    ModelPace,
     ReplicaList,
     SoftwareRollout,
 )
@@ -32,10 +34,19 @@
     reply.software_rollouts.extend(
         _rollout(one) for one in machine.software_rollouts.by_service.values()
     )
-    reply.replica_uses.extend(routed.loads.of_others(request.entry, now_s))
     reply.pinned_draws.extend(routed.draws_of_others(request.entry))
+    reply.model_paces.extend(
+        ModelPace(model=one.model, ms_per_token=one.ms_per_token)
+        for one in routed.paces.middle(now_s)
+    )
     if routed.held.edition:
         reply.replicas.CopyFrom(_list(leadership, request, now_s))
+        loads = pack_loads(
+            routed.held.edition,
+            [replica.id for replica in routed.held.replicas],
+            routed.loads.of_others(request.entry, now_s),
+        )
+        reply.replica_loads.CopyFrom(loads)
 
 
 def _list(
--- a/snipebridge/fleet/loads.py
+++ b/snipebridge/fleet/loads.py
@@ -8,12 +8,14 @@
 >>> loads.take('e2', [ReplicaUse(replica='r', running=4)], now_s=0.0)
 >>> [use.running for use in loads.of_others('e1', now_s=0.1)]
 [4]
+>>> pack_loads(5, ['q', 'r'], loads.of_others('e1', now_s=0.1)).running
+[0, 4]
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from snipebridge.rpc.control_pb2 import ReplicaUse
+from snipebridge.rpc.control_pb2 import ReplicaLoads, ReplicaUse
 
 # A report counts for this long: five heartbeats.
 REPORT_VALID_S = 2.0
@@ -95,3 +97,20 @@
             total.backlog_ms -= load.backlog_ms
             if not total.running and not total.backlog_ms:
                 self._totals.pop(replica)
+
+
+def pack_loads(
+    edition: int, replicas: Iterable[str], uses: Iterable[ReplicaUse]
+) -> ReplicaLoads:
+    """Return uses in the order of a list, whose replicas go without names.
+
+    A replica that the list names twice has one place, its first.
+    """
+    by_replica = {use.replica: use for use in uses}
+    nothing = ReplicaUse()
+    packed = ReplicaLoads(edition=edition)
+    for replica in dict.fromkeys(replicas):
+        use = by_replica.get(replica, nothing)
+        packed.running.append(use.running)
+        packed.backlog_ms.append(use.backlog_ms)
+    return packed
--- a/snipebridge/fleet/state.py
+++ b/snipebridge/fleet/state.py
@@ -11,6 +11,8 @@
 from snipebridge.fleet.electorate import Candidate
 from snipebridge.fleet.evidence import SoftwareEvidence
 from snipebridge.fleet.loads import FleetLoads
+from snipebridge.fleet.paces import FleetPaces
+from snipebridge.policy.pace import LearnedPace
 from snipebridge.rpc.control_pb2 import (
     HeartbeatRequest,
     ListedReplica,
@@ -53,6 +55,7 @@
     evidence: SoftwareEvidence = field(default_factory=SoftwareEvidence)
     held: HeldList = field(default_factory=HeldList)
     loads: FleetLoads = field(default_factory=FleetLoads)
+    paces: FleetPaces = field(default_factory=FleetPaces)
     _asked: dict[str, _Asked] = field(default_factory=dict)
     _draws: deque[_Draws] = field(default_factory=deque)
 
@@ -74,6 +77,11 @@
         """Take what an entry says of versions and replicas."""
         self.evidence.take(process, request.software_outcomes)
         self.loads.take(request.entry, request.replica_uses, now_s)
+        paces = [
+            LearnedPace(one.model, one.ms_per_token)
+            for one in request.model_paces
+        ]
+        self.paces.take(request.entry, paces, now_s)
         if request.pinned_draws:
             draws = _Draws(now_s, request.entry, tuple(request.pinned_draws))
             self._draws.append(draws)
--- a/snipebridge/policy/engine_placement.py
+++ b/snipebridge/policy/engine_placement.py
@@ -8,6 +8,10 @@
 same few replicas by a hash that all entries compute alike, so each part is
 read and kept in few places although no entry asks another.
 
+Beside these, only a few replicas that chance draws are weighed. Entries read
+the same reports, some tenths of a second old: if each of many took the
+cheapest of all, they would all take the same one until the next report.
+
 >>> near = ReplicaLoad('r1', running=2)
 >>> busy = ReplicaLoad('r2', running=9)
 >>> choose([near, busy], PromptShape(), Pace(), random.Random(1)).replica
@@ -15,7 +19,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -34,6 +38,10 @@
 # The share of a prompt's shared parts that is likely cached at the first and
 # the second replica that its hash names, before this entry has seen it there.
 _LIKELY_CACHED = (0.85, 0.4)
+# Replicas that are weighed beside those of the hash. On the model of engines
+# (docs/design/engine-model.md) 83 entries before 30 replicas do best with two
+# to four, and few entries before few replicas do as well with any number.
+DRAWN_REPLICAS = 3
 # Differences below this are noise; among such replicas chance decides, so
 # that entries which read the same reports do not all choose the same one.
 _EQUAL_MS = 5.0
@@ -88,16 +96,27 @@
     pace: Pace,
     rng: random.Random,
 ) -> Placement | None:
-    """Return the cheapest replica, by chance among those that are equal."""
+    """Return the cheapest of some replicas, by chance among equal ones."""
     if not loads:
         return None
     ranks = _ranks(loads, shape.shared_key)
-    placements = [_cost(load, shape, pace, ranks) for load in loads]
+    weighed = _draw(loads, ranks, rng)
+    placements = [_cost(load, shape, pace, ranks) for load in weighed]
     least_ms = min(one.cost_ms for one in placements)
     equal = [one for one in placements if one.cost_ms <= least_ms + _EQUAL_MS]
     return rng.choice(equal)
 
 
+def _draw(
+    loads: Sequence[ReplicaLoad], ranks: Mapping[str, int], rng: random.Random
+) -> list[ReplicaLoad]:
+    """Return the replicas that the hash names, and a few by chance."""
+    named = [load for load in loads if load.replica in ranks]
+    others = [load for load in loads if load.replica not in ranks]
+    count = min(DRAWN_REPLICAS, len(others))
+    return named + rng.sample(others, count)
+
+
 def _ranks(loads: Sequence[ReplicaLoad], key: str) -> dict[str, int]:
     """Return the replicas that the hash of a shared part names, by rank."""
     if not key:
--- a/snipebridge/policy/pace.py
+++ b/snipebridge/policy/pace.py
@@ -3,13 +3,23 @@
 A first token is late for many reasons and early for none, so the estimate
 follows a faster sample at once and a slower one little by little.
 
+An entry of many sees few first tokens of a model that is asked rarely. What
+the fleet has learned stands in for the samples that it lacks.
+
 >>> paces = PaceBook()
 >>> for _ in range(50):
 ...     paces.note('m', uncached_tokens=1000, waited_ms=50.0)
 >>> round(paces.pace('m').ms_per_token, 3)
 0.05
+>>> paces.hear('n', 0.08)
+>>> paces.pace('n').ms_per_token
+0.08
 """
 
+import statistics
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 from snipebridge.policy.engine_placement import Pace
 
 # Prompts below this are over too soon to tell anything.
@@ -18,26 +28,91 @@
 _SLOWER = 0.03
 # Before the first sample: a mid-sized model on one accelerator.
 _FIRST_MS_PER_TOKEN = 0.05
+# What the fleet has learned counts for so many samples of this entry.
+_FLEET_SAMPLES = 10
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedPace:
+    """What one entry has learned of a model."""
+
+    model: str
+    ms_per_token: float
+
+
+@dataclass(slots=True)
+class _Estimate:
+    ms_per_token: float = _FIRST_MS_PER_TOKEN
+    samples: int = 0
+    # None before the fleet has told anything.
+    of_fleet: float | None = None
+
+    def blended(self) -> float:
+        """Return own samples, filled up with what the fleet has learned."""
+        if self.of_fleet is None:
+            return self.ms_per_token
+        own = min(self.samples, _FLEET_SAMPLES)
+        others = _FLEET_SAMPLES - own
+        total = own * self.ms_per_token + others * self.of_fleet
+        return total / _FLEET_SAMPLES
 
 
 class PaceBook:
     """Estimates by model."""
 
-    __slots__ = ('_ms_per_token',)
+    __slots__ = ('_estimates',)
 
     def __init__(self) -> None:
         """Start with the same estimate for all."""
-        self._ms_per_token: dict[str, float] = {}
+        self._estimates: dict[str, _Estimate] = {}
 
     def pace(self, model: str) -> Pace:
         """Return the pace of a model."""
-        return Pace(self._ms_per_token.get(model, _FIRST_MS_PER_TOKEN))
+        estimate = self._estimates.get(model)
+        return Pace(estimate.blended() if estimate else _FIRST_MS_PER_TOKEN)
 
     def note(self, model: str, uncached_tokens: int, waited_ms: float) -> None:
         """Learn from a first token that came after so long."""
         if uncached_tokens < _FEWEST_TOKENS:
             return
         sample = waited_ms / uncached_tokens
-        known = self._ms_per_token.setdefault(model, sample)
-        weight = _FASTER if sample < known else _SLOWER
-        self._ms_per_token[model] = known + weight * (sample - known)
+        estimate = self._estimates.setdefault(model, _Estimate())
+        if not estimate.samples:
+            estimate.ms_per_token = sample
+        weight = _FASTER if sample < estimate.ms_per_token else _SLOWER
+        estimate.ms_per_token += weight * (sample - estimate.ms_per_token)
+        estimate.samples += 1
+
+    def hear(self, model: str, ms_per_token: float) -> None:
+        """Take what the fleet has learned of a model."""
+        estimate = self._estimates.setdefault(model, _Estimate())
+        estimate.of_fleet = ms_per_token
+
+    def learned(self) -> list[LearnedPace]:
+        """Return what this entry has learned by itself."""
+        return [
+            LearnedPace(model, estimate.ms_per_token)
+            for model, estimate in self._estimates.items()
+            if estimate.samples
+        ]
+
+
+def middle_paces(
+    reports: Iterable[Iterable[LearnedPace]],
+) -> list[LearnedPace]:
+    """Return the median of what entries have learned, by model.
+
+    One entry whose samples were all slow does not move it.
+
+    >>> reports = [[LearnedPace('m', pace)] for pace in (0.1, 9.0, 0.2)]
+    >>> middle_paces(reports)
+    [LearnedPace(model='m', ms_per_token=0.2)]
+    """
+    by_model: dict[str, list[float]] = {}
+    for report in reports:
+        for one in report:
+            by_model.setdefault(one.model, []).append(one.ms_per_token)
+    return [
+        LearnedPace(model, statistics.median(learned))
+        for model, learned in sorted(by_model.items())
+    ]
--- a/snipebridge/relay/chains.py
+++ b/snipebridge/relay/chains.py
@@ -6,7 +6,6 @@
 from snipebridge.clock import Clock
 from snipebridge.controllers.link import ControlLink
 from snipebridge.filters.chain import Filter
-from snipebridge.policy.pace import PaceBook
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.relay.choosing import Chooser
 from snipebridge.relay.filters import (
@@ -16,12 +15,11 @@
     RouteFilter,
 )
 from snipebridge.relay.forwarding import ForwardFilter
+from snipebridge.relay.knowledge import Knowledge
 from snipebridge.relay.messages import HeaderCodec
 from snipebridge.relay.metrics import RelayMetrics
 from snipebridge.relay.parts import ForwardParts
-from snipebridge.relay.replicas import ReplicaBook
 from snipebridge.relay.reporting import RelayReporter
-from snipebridge.relay.software import SoftwareChoice
 from snipebridge.settings.models import Settings
 from snipebridge.upstreams.connections import ConnectionPool
 
@@ -30,8 +28,7 @@
     settings: Settings,
     link: ControlLink,
     reporter: RelayReporter,
-    book: ReplicaBook,
-    software: SoftwareChoice,
+    knowledge: Knowledge,
     pool: ConnectionPool,
     metrics: RelayMetrics,
     clock: Clock,
@@ -39,15 +36,12 @@
 ) -> Sequence[Filter]:
     """Return the chain around the long-lived parts of an entry."""
     promises = settings.promises
-    paces = PaceBook()
     parts = ForwardParts(
-        chooser=Chooser(
-            book, software, paces, clock, rng, settings.process.data_centre
-        ),
+        chooser=Chooser(knowledge, clock, rng, settings.process.data_centre),
         pool=pool,
         codec=HeaderCodec(settings.headers),
-        software=software,
-        paces=paces,
+        software=knowledge.software,
+        paces=knowledge.paces,
         retries=RetryWindow(
             promises.retry_ratio,
             promises.retry_slack,
--- a/snipebridge/relay/choosing.py
+++ b/snipebridge/relay/choosing.py
@@ -14,10 +14,9 @@
     ReplicaLoad,
     choose,
 )
-from snipebridge.policy.pace import PaceBook
 from snipebridge.relay.exchange import RelayExchange
-from snipebridge.relay.replicas import Replica, ReplicaBook
-from snipebridge.relay.software import SoftwareChoice
+from snipebridge.relay.knowledge import Knowledge
+from snipebridge.relay.replicas import Replica
 from snipebridge.routing.tables import Route
 
 # The digest of a path is 64 bits wide.
@@ -50,17 +49,15 @@
 
     def __init__(
         self,
-        book: ReplicaBook,
-        software: SoftwareChoice,
-        paces: PaceBook,
+        knowledge: Knowledge,
         clock: Clock,
         rng: random.Random,
         data_centre: str,
     ) -> None:
         """Keep what is known of replicas, versions and models."""
-        self._book = book
-        self._software = software
-        self._paces = paces
+        self._book = knowledge.book
+        self._software = knowledge.software
+        self._paces = knowledge.paces
         self._clock = clock
         self._rng = rng
         self._data_centre = data_centre
--- /dev/null
+++ b/snipebridge/relay/knowledge.py
@@ -0,0 +1,16 @@
+"""What an entry knows of replicas, their software and the models there."""
+
+from dataclasses import dataclass, field
+
+from snipebridge.policy.pace import PaceBook
+from snipebridge.relay.replicas import ReplicaBook
+from snipebridge.relay.software import SoftwareChoice
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """Learned from requests here, and from what control tells."""
+
+    software: SoftwareChoice
+    book: ReplicaBook = field(default_factory=ReplicaBook)
+    paces: PaceBook = field(default_factory=PaceBook)
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -14,9 +14,9 @@
 from snipebridge.logs import dropped_lines, log_event
 from snipebridge.relay.chains import make_filters
 from snipebridge.relay.messages import HeaderCodec
+from snipebridge.relay.knowledge import Knowledge
 from snipebridge.relay.metrics import RelayMetrics
 from snipebridge.relay.pages import make_pages
-from snipebridge.relay.replicas import ReplicaBook
 from snipebridge.relay.reporting import RelayReporter
 from snipebridge.relay.server import ServerParts, make_relay_server
 from snipebridge.relay.software import SoftwareChoice
@@ -56,9 +56,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = RelayMetrics()
         self._pool = ConnectionPool()
-        self._book = ReplicaBook()
-        self._software = SoftwareChoice(settings.promises.session_s)
-        self._reporter = RelayReporter(self._book, self._software, clock)
+        self._knowledge = Knowledge(SoftwareChoice(settings.promises.session_s))
+        self._reporter = RelayReporter(self._knowledge, clock)
         self._reporter.on_gone = self._pool.drop
         self._reporter.on_table = self._take_table
         self._link: ControlLink = make_control_link(
@@ -70,8 +69,7 @@
                 settings,
                 self._link,
                 self._reporter,
-                self._book,
-                self._software,
+                self._knowledge,
                 self._pool,
                 self._metrics,
                 clock,
@@ -162,7 +160,7 @@
             make_upstream_client(), settings.url, self._clock
         )
         fallback = ListFallback(
-            self._book,
+            self._knowledge.book,
             reader,
             settings,
             self._clock,
--- a/snipebridge/relay/replicas.py
+++ b/snipebridge/relay/replicas.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field
 
 from snipebridge.policy.trust import Trust
-from snipebridge.rpc.control_pb2 import ListedReplica, ReplicaUse
+from snipebridge.rpc.control_pb2 import (
+    ListedReplica,
+    ReplicaLoads,
+    ReplicaUse,
+)
 
 # A replica's word on its load is as old as the answer that brought it.
 LOAD_VALID_S = 1.0
@@ -118,16 +122,21 @@
         """Note that the list held here is still the newest one."""
         self.asked_at_s = max(self.asked_at_s, asked_at_s)
 
-    def take_uses(self, uses: Iterable[ReplicaUse]) -> None:
-        """Take what the other entries have under way."""
-        for replica in self.by_id.values():
-            replica.others_running = 0
-            replica.others_backlog_ms = 0
-        for use in uses:
-            replica = self.by_id.get(use.replica)
-            if replica is not None:
-                replica.others_running = use.running
-                replica.others_backlog_ms = use.backlog_ms
+    def take_loads(self, loads: ReplicaLoads) -> None:
+        """Take what the other entries have under way.
+
+        Loads that belong to another list than the one held here tell nothing.
+        """
+        is_of_this = (
+            loads.edition == self.edition
+            and len(loads.running) == len(self.by_id)
+            and len(loads.backlog_ms) == len(self.by_id)
+        )
+        for place, replica in enumerate(self.by_id.values()):
+            replica.others_running = loads.running[place] if is_of_this else 0
+            replica.others_backlog_ms = (
+                loads.backlog_ms[place] if is_of_this else 0
+            )
 
     def own_uses(self) -> list[ReplicaUse]:
         """Return what this entry has under way."""
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -4,12 +4,15 @@
 
 from snipebridge.clock import Clock
 from snipebridge.logs import log_decision, log_event
-from snipebridge.relay.replicas import ReplicaBook
-from snipebridge.relay.software import SoftwareChoice
+from snipebridge.relay.knowledge import Knowledge
 from snipebridge.routing.documents import read_table
 from snipebridge.routing.errors import DocumentError
 from snipebridge.routing.tables import RoutingTable
-from snipebridge.rpc.control_pb2 import HeartbeatReply, HeartbeatRequest
+from snipebridge.rpc.control_pb2 import (
+    HeartbeatReply,
+    HeartbeatRequest,
+    ModelPace,
+)
 
 OnTable = Callable[[RoutingTable], None]
 
@@ -21,6 +24,7 @@
         '_book',
         '_clock',
         '_entries_digest',
+        '_paces',
         '_sent_at_s',
         '_software',
         'entry_count',
@@ -29,12 +33,11 @@
         'table',
     )
 
-    def __init__(
-        self, book: ReplicaBook, software: SoftwareChoice, clock: Clock
-    ) -> None:
+    def __init__(self, knowledge: Knowledge, clock: Clock) -> None:
         """Start without routes."""
-        self._book = book
-        self._software = software
+        self._book = knowledge.book
+        self._software = knowledge.software
+        self._paces = knowledge.paces
         self._clock = clock
         self._entries_digest = 0
         self._sent_at_s = 0.0
@@ -52,6 +55,10 @@
         request.software_outcomes.extend(self._software.outcomes())
         request.replica_uses.extend(self._book.own_uses())
         request.pinned_draws.extend(self._software.take_draws())
+        request.model_paces.extend(
+            ModelPace(model=one.model, ms_per_token=one.ms_per_token)
+            for one in self._paces.learned()
+        )
 
     def take(self, reply: HeartbeatReply) -> bool:
         """Take routes, replicas and roll-outs; tell whether all is held.
@@ -66,7 +73,9 @@
         self._take_routing(reply)
         self._take_replicas(reply)
         self._software.take_rollouts(reply.software_rollouts)
-        self._book.take_uses(reply.replica_uses)
+        self._book.take_loads(reply.replica_loads)
+        for pace in reply.model_paces:
+            self._paces.hear(pace.model, pace.ms_per_token)
         self._software.take_foreign_draws(
             reply.pinned_draws, self._clock.monotonic_s()
         )
--- a/snipebridge/reporting.py
+++ b/snipebridge/reporting.py
@@ -56,6 +56,7 @@
         '_sent_at_s',
         '_stopped',
         '_watch',
+        'entry_count',
     )
 
     def __init__(
@@ -75,6 +76,7 @@
         self._directory = directory
         self._gate = gate
         self._entry_count = entry_count
+        self.entry_count = 1
         self._watch = watch
         self._clock = clock
         self._next_id = rng.getrandbits(_REPORT_ID_BITS) + 1
@@ -161,7 +163,8 @@
         self._entries_digest = reply.entries_digest
         self._directory.set_members(reply.entries)
         staying = [entry for entry in reply.entries if not entry.leaving]
-        self._entry_count.set_entry_count(max(1, len(staying)))
+        self.entry_count = max(1, len(staying))
+        self._entry_count.set_entry_count(self.entry_count)
 
     def _take_sign(self, sign: UpstreamSign) -> None:
         if sign.reporter == self._entry or sign.state not in _KNOWN_STATES:
--- a/tests/controllers/test_link.py
+++ b/tests/controllers/test_link.py
@@ -48,6 +48,8 @@
 
 
 class _NoReports:
+    entry_count = 1
+
     def fill(self, request) -> None:
         """Report nothing."""
 
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -2,7 +2,7 @@
 
 import random
 
-from snipebridge.fleet.loads import REPORT_VALID_S, FleetLoads
+from snipebridge.fleet.loads import REPORT_VALID_S, FleetLoads, pack_loads
 from snipebridge.rpc.control_pb2 import ReplicaUse
 
 
@@ -45,3 +45,20 @@
             if entry != 'e0':
                 expected[replica] = expected.get(replica, 0) + running
     assert seen(loads, 'e0', 2.0) == expected
+
+
+def test_packed_loads_cost_a_few_bytes_a_replica():
+    """Sixty replicas that all are in use take less than 300 bytes."""
+    names = [f'i-{number:010x}' for number in range(60)]
+    used = [
+        ReplicaUse(replica=name, running=12, backlog_ms=900) for name in names
+    ]
+    packed = pack_loads(1 << 40, names, used)
+    assert set(packed.running) == {12}
+    assert packed.ByteSize() < 300
+
+
+def test_replica_named_twice_has_one_place():
+    """As in the book of an entry, which holds each name once."""
+    packed = pack_loads(1, ['r', 's', 'r'], uses(r=3, s=1))
+    assert list(packed.running) == [3, 1]
--- a/tests/policy/test_relay_policies.py
+++ b/tests/policy/test_relay_policies.py
@@ -1,14 +1,18 @@
 """Trust, retry budget, tiers, price and placement under their loads."""
 
 import random
+from collections import Counter
 
+import pytest
+
+from snipebridge.fleet.paces import REPORT_VALID_S, FleetPaces
 from snipebridge.policy.engine_placement import (
     Pace,
     PromptShape,
     ReplicaLoad,
     choose,
 )
-from snipebridge.policy.pace import PaceBook
+from snipebridge.policy.pace import LearnedPace, PaceBook
 from snipebridge.policy.pool_price import PoolPrice
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.policy.tiers import TierPolicy, TierState, time_worth
@@ -100,6 +104,29 @@
     assert len(set().union(*used.values())) == 10
 
 
+def test_entries_with_one_report_do_not_all_take_the_same_replica():
+    """Many entries choose before the next report tells what they chose."""
+    reported = [ReplicaLoad(f'r{number}', running=20) for number in range(30)]
+    reported[7].running = 12
+    chosen = Counter(
+        choose(reported, PromptShape(500), Pace(), random.Random(entry)).replica
+        for entry in range(83)
+    )
+    # The one that looks best gets more than its part, and not everything.
+    assert 83 / 30 < chosen['r7'] < 83 / 4
+
+
+def test_replica_of_the_hash_is_always_weighed():
+    """Chance does not keep a request from where its parts are."""
+    loads = [ReplicaLoad(f'r{number}') for number in range(30)]
+    shape = PromptShape(9000, 6000, 'part')
+    chosen = {
+        choose(loads, shape, Pace(0.1), random.Random(entry)).replica
+        for entry in range(83)
+    }
+    assert len(chosen) == 1
+
+
 def test_backlog_outweighs_a_cached_part():
     """A prompt leaves its replica when reading it anew is sooner."""
     shape = PromptShape(4000, 3500, 'part')
@@ -129,3 +156,30 @@
     for _ in range(300):
         paces.note('m', 2000, 2000 * 0.03 + rng.expovariate(1 / 60.0))
     assert 0.03 <= paces.pace('m').ms_per_token < 0.045
+
+
+def test_entry_of_many_starts_from_what_the_fleet_has_learned():
+    """It asks a strong model rarely, and its first samples may be slow."""
+    alone = PaceBook()
+    told = PaceBook()
+    told.hear('m', 0.09)
+    for paces in (alone, told):
+        paces.note('m', uncached_tokens=1000, waited_ms=900.0)
+    assert alone.pace('m').ms_per_token == pytest.approx(0.9)
+    assert told.pace('m').ms_per_token < 0.2
+    for _ in range(20):
+        told.note('m', uncached_tokens=1000, waited_ms=300.0)
+    assert told.pace('m').ms_per_token == pytest.approx(0.3, rel=0.1)
+
+
+def test_one_slow_entry_does_not_move_what_the_fleet_has_learned():
+    """Entries tell what they learned; the leader passes the middle on."""
+    fleet = FleetPaces()
+    for number in range(9):
+        fleet.take(f'e{number}', [LearnedPace('m', 0.09)], 0.0)
+    fleet.take('slow', [LearnedPace('m', 5.0), LearnedPace('n', 0.3)], 0.0)
+    assert fleet.middle(1.0) == [
+        LearnedPace('m', 0.09),
+        LearnedPace('n', 0.3),
+    ]
+    assert not fleet.middle(1.0 + REPORT_VALID_S)
--- a/tests/relay/test_replicas.py
+++ b/tests/relay/test_replicas.py
@@ -1,5 +1,6 @@
 """What an entry knows of replicas, from lists, answers and other entries."""
 
+from snipebridge.relay.knowledge import Knowledge
 from snipebridge.relay.replicas import LOAD_VALID_S, ReplicaBook
 from snipebridge.relay.reporting import RelayReporter
 from snipebridge.relay.software import SoftwareChoice
@@ -7,7 +8,7 @@
     HeartbeatReply,
     HeartbeatRequest,
     ListedReplica,
-    ReplicaUse,
+    ReplicaLoads,
 )
 from tests.clocks import ManualClock
 
@@ -56,7 +57,7 @@
     replica.note_load((7, 1, 4), 5.0)
     replica.running = 3
     assert replica.likely_running(5.0) == 9
-    book.take_uses([ReplicaUse(replica='a', running=4)])
+    book.take_loads(ReplicaLoads(running=[4], backlog_ms=[70]))
     assert replica.likely_running(5.0 + LOAD_VALID_S + 0.1) == 7
 
 
@@ -73,7 +74,7 @@
     """A new edition replaces the list, the same one keeps it fresh."""
     clock = ManualClock()
     book = ReplicaBook()
-    reporter = RelayReporter(book, SoftwareChoice(5.0), clock)
+    reporter = RelayReporter(Knowledge(SoftwareChoice(5.0), book), clock)
     gone = []
     reporter.on_gone = gone.append
     reporter.fill(HeartbeatRequest())
@@ -94,8 +95,38 @@
     """What was known before is tried on."""
     clock = ManualClock()
     book = ReplicaBook()
-    reporter = RelayReporter(book, SoftwareChoice(5.0), clock)
+    reporter = RelayReporter(Knowledge(SoftwareChoice(5.0), book), clock)
     reporter.fill(HeartbeatRequest())
     reporter.take(reply(1, listed('a')))
     reporter.take(reply(2))
     assert names(book) == ['a']
+
+
+def test_paces_of_models_travel_both_ways():
+    """An entry tells what it learned, and takes what the fleet has."""
+    knowledge = Knowledge(SoftwareChoice(5.0))
+    knowledge.paces.note('m', uncached_tokens=1000, waited_ms=90.0)
+    reporter = RelayReporter(knowledge, ManualClock())
+    request = HeartbeatRequest()
+    reporter.fill(request)
+    assert [one.model for one in request.model_paces] == ['m']
+    answer = reply(1, listed('a'))
+    answer.model_paces.add(model='n', ms_per_token=0.25)
+    reporter.take(answer)
+    assert knowledge.paces.pace('n').ms_per_token == 0.25
+
+
+def test_loads_of_others_belong_to_one_list():
+    """Places of another edition, or too few of them, tell nothing."""
+    book = ReplicaBook()
+    book.take_list([listed('a'), listed('b')], 1.0, 1.0)
+    book.edition = 4
+    loads = ReplicaLoads(edition=4, running=[3, 5], backlog_ms=[10, 20])
+    book.take_loads(loads)
+    assert [one.others_running for one in book.by_id.values()] == [3, 5]
+    assert [one.others_backlog_ms for one in book.by_id.values()] == [10, 20]
+    loads.edition = 5
+    book.take_loads(loads)
+    assert [one.others_running for one in book.by_id.values()] == [0, 0]
+    book.take_loads(ReplicaLoads(edition=4, running=[3], backlog_ms=[1]))
+    assert [one.others_running for one in book.by_id.values()] == [0, 0]
