--- a/bench/platform_system.py
+++ b/bench/platform_system.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from bench.processes import ChildProcess, free_ports
 from fakes.platform_list import PlatformList, render
@@ -222,7 +222,7 @@
             raise_error=False,
             request_timeout=2.0,
         )
-    except OSError:
+    except (OSError, HTTPError):
         return 599, {}
     try:
         return response.code, json.loads(response.body or b'{}')
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -86,11 +86,15 @@
         except (OSError, TimeoutError, EOFError) as error:
             call.fault = type(error).__name__
             return False
+        except asyncio.CancelledError:
+            call.is_cut_off = True
+            raise
         finally:
             call.ended_s = self.now_s
         call.status = answer.status
         call.is_whole = answer.is_whole
         call.body = answer.body
+        call.named = answer.headers.get('x-attempt-id', '')
         call.signature = answer.headers.get('x-response-signature', '')
         closes = answer.headers.get('connection', '').lower() == 'close'
         return answer.is_whole and not closes
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -26,8 +26,9 @@
 _TERM_LIMIT_S = 10.0
 _WATCH_S = 0.05
 _REUSE_S = 2.0
-# Time that a draining replica goes on: the promise, and what runs there.
-_LINGER_S = 6.0
+# A draining replica goes on well after the promise, so that what is sent there
+# too late still arrives and is seen.
+_LINGER_S = 10.0
 _TORN_BYTES = 37
 _REPLICA_FLAGS = {
     FaultKind.FAIL: 'fails',
@@ -121,10 +122,10 @@
     async def _strike_process(self, host: str, fault: Fault) -> None:
         process = self._system.processes[host]
         pid = process.pid
-        self._struck_pids.add(pid)
         if fault.kind is FaultKind.HANG_UP:
             process.hang_up()
             return
+        self._struck_pids.add(pid)
         if fault.kind is FaultKind.FREEZE:
             process.freeze()
             await asyncio.sleep(fault.for_s)
@@ -195,10 +196,21 @@
         if replica.is_stopped:
             return
         await replica.stop()
+        await asyncio.gather(
+            self._unlist_later(number, replica, listed_s),
+            self._reuse_later(replica),
+        )
+
+    async def _unlist_later(
+        self, number: int, replica: SoakReplica, listed_s: float
+    ) -> None:
         await asyncio.sleep(listed_s)
         self._record.left_s.setdefault(replica.name, self._now())
         self._slots.unlist(replica)
         if self._slots.at(number) is replica:
             await self._slots.renew(number)
+
+    async def _reuse_later(self, replica: SoakReplica) -> None:
+        """Give the address away, also while the list still has the old one."""
         await asyncio.sleep(_REUSE_S)
         await self._slots.add_at(replica.proxy_port, replica.other_service())
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -37,7 +37,11 @@
     is_whole: bool = False
     body: bytes = b''
     signature: str = ''
+    # The request that the answer says it belongs to.
+    named: str = ''
     fault: str = ''
+    # The run ended before the answer did.
+    is_cut_off: bool = False
 
     @property
     def is_served(self) -> bool:
@@ -95,6 +99,8 @@
     calm: list[tuple[float, float]] = field(default_factory=list)
     # Ends of processes that nothing had struck.
     own_ends: list[str] = field(default_factory=list)
+    # What did not come back, or got no answer, in the time it has.
+    failures: list[str] = field(default_factory=list)
     events: int = 0
     convergence_s: float = 2.0
 
@@ -110,6 +116,8 @@
         replica = call.signature.removesuffix('.sig')
         if replica not in ran[call.attempt_id]:
             yield f'{call.attempt_id}: signed by {replica or "nobody"}'
+        if call.named != call.attempt_id:
+            yield f'{call.attempt_id}: an answer to {call.named or "nobody"}'
         if call.kind != 'chat' and call.body != f'answer of {replica}'.encode():
             yield f'{call.attempt_id}: body {call.body[:40]!r}'
 
@@ -226,7 +234,7 @@
 def check_times(record: Record) -> Iterable[str]:
     """In calm spans no request goes without its final answer."""
     for call in record.calls:
-        if not _is_calm(record, call.sent_s):
+        if call.is_cut_off or not _is_calm(record, call.sent_s):
             continue
         spent_s = call.ended_s - call.sent_s
         # A stream that runs is not cut: only its first event is due.
@@ -240,6 +248,7 @@
         call
         for call in record.calls
         if call.key not in record.revoked_s
+        and not call.is_cut_off
         and _is_calm(record, call.sent_s)
         and _is_calm(record, call.ended_s)
     ]
@@ -252,6 +261,11 @@
             )
 
 
+def check_recovered(record: Record) -> Iterable[str]:
+    """After the last fault all is back in time, and orders get an answer."""
+    return record.failures
+
+
 def check_processes(record: Record) -> Iterable[str]:
     """No process ends by itself."""
     return record.own_ends
@@ -271,6 +285,7 @@
     'routes': check_routes,
     'times': check_times,
     'served': check_served,
+    'recovered': check_recovered,
     'processes': check_processes,
 }
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import random
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -27,6 +28,7 @@
 _RECOVERY_S = 12.0
 _CALM_END_S = 4.0
 _CALLERS_BY_ENTRY = 6
+_ATTEMPTS = 3
 _READY_PAUSE_S = 1.0
 _MISSES = 2
 _OK = 200
@@ -91,6 +93,10 @@
     slots = Slots(fleet.replicas)
     system = PlatformSystem(folder, slots.listed(), entry_hosts(fleet.entries))
     slots.use(system.list)
+    for route in system.document['routes']:
+        # The most that may be tried: what may not repeat is never the route's
+        # number of attempts alone.
+        route['attempts_limit'] = _ATTEMPTS
     record.events = slots.at(0).events
     try:
         async with system:
@@ -137,8 +143,8 @@
         for work in (balancer.run, operator.read_on, striker.watch)
     ]
     try:
-        await striker.play(faults)
-        await _recover(system)
+        await _unless_late(record, 'an order', striker.play(faults))
+        await _unless_late(record, 'a process', _recover(system))
         await asyncio.sleep(_SETTLE_S + _CALM_END_S)
         record.calm = calm_spans(striker.spans, now(), _SETTLE_S)
         await _stop([calling])
@@ -148,6 +154,16 @@
         await _stop([calling, *beside])
 
 
+async def _unless_late(
+    record: Record, what: str, work: Awaitable[None]
+) -> None:
+    """Note what did not end in its time as a broken promise."""
+    try:
+        await work
+    except TimeoutError as error:
+        record.failures.append(f'{what} was not done in time: {error}')
+
+
 async def _recover(system: PlatformSystem) -> None:
     """Wait until all are back; raises `TimeoutError` if they are not."""
     async with asyncio.timeout(_RECOVERY_S):
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -15,7 +15,7 @@
 from enum import StrEnum
 
 # Mean time between the starts of two faults, and between those of a series.
-_GAP_S = 1.2
+_GAP_S = 0.5
 _SERIES_GAP_S = 0.25
 _SERIES_SHARE = 0.3
 _SERIES_MOST = 4
@@ -107,9 +107,9 @@
     ),
 }
 _TARGET_WEIGHTS = {
-    Target.CONTROL: 3,
+    Target.CONTROL: 2,
     Target.ENTRY: 2,
-    Target.REPLICA: 4,
+    Target.REPLICA: 6,
     Target.OPERATOR: 3,
 }
 
--- a/snipebridge/cli/commands.py
+++ b/snipebridge/cli/commands.py
@@ -31,21 +31,24 @@
 
 def run_entry(flag_values, arguments, environment) -> ExitStatus:
     """Run the entry process until TERM, then drain."""
+    # Before the settings are read: no change in between is missed.
+    watch = SettingsWatch(flag_values.settings)
     settings = _load_process_settings(flag_values)
     if settings.entry.form == 'routed':
         from snipebridge.relay.process import serve  # noqa: PLC0415 - other commands start faster without it
     else:
         from snipebridge.entry import serve  # noqa: PLC0415 - other commands start faster without it
 
-    return _run_process(serve, settings, flag_values.settings)
+    return _run_process(serve, settings, watch)
 
 
 def run_control(flag_values, arguments, environment) -> ExitStatus:
     """Run the control process until TERM, then drain."""
+    watch = SettingsWatch(flag_values.settings)
     settings = _load_process_settings(flag_values)
     from snipebridge.control.process import serve  # noqa: PLC0415 - other commands start faster without it
 
-    return _run_process(serve, settings, flag_values.settings)
+    return _run_process(serve, settings, watch)
 
 
 def run_patch(flag_values, arguments, environment) -> ExitStatus:
@@ -165,17 +168,18 @@
     return settings
 
 
-def _run_process(serve: Serve, settings: Settings, path: str) -> ExitStatus:
+def _run_process(
+    serve: Serve, settings: Settings, watch: SettingsWatch
+) -> ExitStatus:
     start_logging(settings.log, settings.process.name)
-    asyncio.run(_serve_until_signal(serve, settings, path))
+    asyncio.run(_serve_until_signal(serve, settings, watch))
     return ExitStatus.OK
 
 
 async def _serve_until_signal(
-    serve: Serve, settings: Settings, path: str
+    serve: Serve, settings: Settings, watch: SettingsWatch
 ) -> None:
     stop = asyncio.Event()
-    watch = SettingsWatch(path)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
--- a/tests/bench/soak/test_promises.py
+++ b/tests/bench/soak/test_promises.py
@@ -42,6 +42,7 @@
         is_whole=True,
         body=body,
         signature=signature,
+        named=attempt_id,
     )
 
 
@@ -85,6 +86,11 @@
     record.calls[1].body = b'answer of d2'
 
 
+def to_another(record):
+    """A success that names another request."""
+    record.calls[0].named = 'b'
+
+
 def without_an_event(record):
     """A stream that misses its second event."""
     record.calls[2].body = EVENTS[:14] + EVENTS[28:]
@@ -172,6 +178,11 @@
     record.calls[0].status = 0
 
 
+def not_back(record):
+    """A process was not ready again in time."""
+    record.failures.append('a process was not done in time')
+
+
 def ended_by_itself(record):
     """A process ended that nothing had struck."""
     record.own_ends.append('e at 3.0 s')
@@ -182,6 +193,7 @@
     [
         (of_nobody, 'answers'),
         (of_another, 'answers'),
+        (to_another, 'answers'),
         (without_an_event, 'streams'),
         (too_short, 'streams'),
         (of_another_stream, 'streams'),
@@ -199,6 +211,7 @@
         (at_another_service, 'routes'),
         (too_late, 'times'),
         (not_served, 'served'),
+        (not_back, 'recovered'),
         (ended_by_itself, 'processes'),
     ],
 )
