Tell loads by place without making a message for each replica

Ruled out: a cache by heartbeat, as each entry's own part is taken off.

Change: the order of a list is made once with it, and loads are counted into two packed fields.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -28,6 +28,7 @@
 from bench.capacity.policy import measure_policy
 from bench.capacity.polling import measure_polling
 from bench.capacity.relay import measure_relay
+from bench.capacity.routed import measure_routed
 from bench.capacity.slopes import Slopes
 from bench.capacity.target import work_out
 
@@ -37,6 +38,7 @@
     'machine': measure_machine,
     'policy': measure_policy,
     'heartbeats': measure_heartbeats,
+    'routed': measure_routed,
     'log': measure_log,
     'polling': measure_polling,
     'relay': measure_relay,
--- a/bench/capacity/heartbeats.py
+++ b/bench/capacity/heartbeats.py
@@ -41,7 +41,7 @@
 def _measure_count(
     folder: Path, count: int, rng: random.Random
 ) -> dict[str, Any]:
-    leadership = _make_leadership(folder, count)
+    leadership = make_leadership(folder, count)
     requests = [_make_request(number) for number in range(count)]
     _renew_leases(leadership, requests)
     chosen = rng.choices(requests, k=_BEATS)
@@ -84,7 +84,7 @@
     return reply.SerializeToString()
 
 
-def _make_leadership(folder: Path, count: int) -> Leadership:
+def make_leadership(folder: Path, count: int) -> Leadership:
     settings = Settings(ProcessSettings('control-1', 'dc-0', str(folder)))
     machine = make_control_machine(settings.control)
     clock = SystemClock()
--- a/bench/engines/serving.py
+++ b/bench/engines/serving.py
@@ -8,7 +8,7 @@
 from bench.engines.engine import Engine, Run
 from bench.engines.ways import Way
 from bench.policies.event_loop import Loop
-from snipebridge.fleet.loads import FleetLoads, pack_loads
+from snipebridge.fleet.loads import FleetLoads, make_load_order
 from snipebridge.fleet.paces import FleetPaces
 from snipebridge.policy.engine_placement import PromptShape, ReplicaLoad
 from snipebridge.policy.pace import PaceBook
@@ -67,6 +67,7 @@
             name: Engine(self.loop, name, deployment.engine)
             for name in (f'r{number}' for number in range(deployment.replicas))
         }
+        self.order = make_load_order(0, self.engines)
         self.entries = [
             Entry(self, number, way, seed)
             for number in range(deployment.entries)
@@ -132,8 +133,8 @@
         now_s = self.serving.loop.now_s
         loads = self.serving.loads
         loads.take(self.name, self.book.own_uses(), now_s)
-        others = loads.of_others(self.name, now_s)
-        self.book.take_loads(pack_loads(0, self.book.by_id, others))
+        order = self.serving.order
+        self.book.take_loads(loads.of_others(self.name, order, now_s))
         paces = self.serving.paces
         paces.take(self.name, self.paces.learned(), now_s)
         for one in paces.middle(now_s):
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -123,8 +123,8 @@
 
     async def _put(self, document: dict, host: str = '') -> None:
         version = document['version']
-        contents = self._record.sent.setdefault(version, [])
-        contents.append(copy.deepcopy(document))
+        sent = self._record.sent.setdefault(version, [])
+        sent.append(copy.deepcopy(document))
         answer = await self._system.put(document, host)
         if 'error' in answer:
             raise ValueError(f'version {version} was refused: {answer}')
--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -2,7 +2,6 @@
 
 from snipebridge.control.leader import Leadership
 from snipebridge.controllers.software_rollouts import SoftwareRolloutState
-from snipebridge.fleet.loads import pack_loads
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
@@ -41,12 +40,9 @@
     )
     if routed.held.edition:
         reply.replicas.CopyFrom(_list(leadership, request, now_s))
-        loads = pack_loads(
-            routed.held.edition,
-            [replica.id for replica in routed.held.replicas],
-            routed.loads.of_others(request.entry, now_s),
+        reply.replica_loads.CopyFrom(
+            routed.loads.of_others(request.entry, routed.held.order, now_s)
         )
-        reply.replica_loads.CopyFrom(loads)
 
 
 def _list(
--- a/snipebridge/fleet/loads.py
+++ b/snipebridge/fleet/loads.py
@@ -6,9 +6,8 @@
 >>> loads = FleetLoads()
 >>> loads.take('e1', [ReplicaUse(replica='r', running=3)], now_s=0.0)
 >>> loads.take('e2', [ReplicaUse(replica='r', running=4)], now_s=0.0)
->>> [use.running for use in loads.of_others('e1', now_s=0.1)]
-[4]
->>> pack_loads(5, ['q', 'r'], loads.of_others('e1', now_s=0.1)).running
+>>> order = make_load_order(5, ['q', 'r'])
+>>> loads.of_others('e1', order, now_s=0.1).running
 [0, 4]
 """
 
@@ -29,6 +28,25 @@
     backlog_ms: int = 0
 
 
+_NOTHING = _Load()
+
+
+@dataclass(slots=True, frozen=True)
+class LoadOrder:
+    """The replicas of one edition of the list, each once, in its order.
+
+    Loads travel by place: names would be most of a heartbeat.
+    """
+
+    edition: int = 0
+    replicas: tuple[str, ...] = ()
+
+
+def make_load_order(edition: int, replicas: Iterable[str]) -> LoadOrder:
+    """Return the order of a list; one named twice has its first place."""
+    return LoadOrder(edition, tuple(dict.fromkeys(replicas)))
+
+
 @dataclass(slots=True)
 class _Report:
     heard_s: float
@@ -59,25 +77,24 @@
             total.backlog_ms += use.backlog_ms
         self._reports[entry] = report
 
-    def of_others(self, entry: str, now_s: float) -> list[ReplicaUse]:
-        """Return what the other entries have under way, by replica."""
+    def of_others(
+        self, entry: str, order: LoadOrder, now_s: float
+    ) -> ReplicaLoads:
+        """Return what the other entries have under way, in a list's order."""
         self._sweep(now_s)
         own = self._reports.get(entry)
-        loads = own.loads if own else {}
-        nothing = _Load()
-        uses = []
-        for replica, total in self._totals.items():
-            mine = loads.get(replica, nothing)
-            running = total.running - mine.running
-            if running > 0:
-                uses.append(
-                    ReplicaUse(
-                        replica=replica,
-                        running=running,
-                        backlog_ms=max(0, total.backlog_ms - mine.backlog_ms),
-                    )
-                )
-        return uses
+        mine = own.loads if own else {}
+        totals = self._totals
+        running = []
+        backlog_ms = []
+        for replica in order.replicas:
+            total = totals.get(replica, _NOTHING)
+            part = mine.get(replica, _NOTHING)
+            running.append(total.running - part.running)
+            backlog_ms.append(total.backlog_ms - part.backlog_ms)
+        return ReplicaLoads(
+            edition=order.edition, running=running, backlog_ms=backlog_ms
+        )
 
     def _sweep(self, now_s: float) -> None:
         if now_s - self._swept_s < _SWEEP_INTERVAL_S:
@@ -97,20 +114,3 @@
             total.backlog_ms -= load.backlog_ms
             if not total.running and not total.backlog_ms:
                 self._totals.pop(replica)
-
-
-def pack_loads(
-    edition: int, replicas: Iterable[str], uses: Iterable[ReplicaUse]
-) -> ReplicaLoads:
-    """Return uses in the order of a list, whose replicas go without names.
-
-    A replica that the list names twice has one place, its first.
-    """
-    by_replica = {use.replica: use for use in uses}
-    nothing = ReplicaUse()
-    packed = ReplicaLoads(edition=edition)
-    for replica in dict.fromkeys(replicas):
-        use = by_replica.get(replica, nothing)
-        packed.running.append(use.running)
-        packed.backlog_ms.append(use.backlog_ms)
-    return packed
--- a/snipebridge/fleet/state.py
+++ b/snipebridge/fleet/state.py
@@ -10,7 +10,11 @@
 
 from snipebridge.fleet.electorate import Candidate
 from snipebridge.fleet.evidence import SoftwareEvidence
-from snipebridge.fleet.loads import FleetLoads
+from snipebridge.fleet.loads import (
+    FleetLoads,
+    LoadOrder,
+    make_load_order,
+)
 from snipebridge.fleet.paces import FleetPaces
 from snipebridge.policy.pace import LearnedPace
 from snipebridge.rpc.control_pb2 import (
@@ -33,6 +37,7 @@
     edition: int = 0
     asked_at_s: float = 0.0
     replicas: Sequence[ListedReplica] = ()
+    order: LoadOrder = field(default_factory=LoadOrder)
 
 
 @dataclass(slots=True)
@@ -68,7 +73,8 @@
             return False
         first = term << _TERM_BITS
         edition = max(self.held.edition, first) + 1
-        self.held = HeldList(edition, asked_at_s, replicas)
+        order = make_load_order(edition, (one.id for one in replicas))
+        self.held = HeldList(edition, asked_at_s, replicas, order)
         return True
 
     def take_report(
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -2,7 +2,11 @@
 
 import random
 
-from snipebridge.fleet.loads import REPORT_VALID_S, FleetLoads, pack_loads
+from snipebridge.fleet.loads import (
+    REPORT_VALID_S,
+    FleetLoads,
+    make_load_order,
+)
 from snipebridge.rpc.control_pb2 import ReplicaUse
 
 
@@ -14,9 +18,15 @@
     ]
 
 
+ORDER = make_load_order(7, ['r', 's', *(f'r{place}' for place in range(8))])
+
+
 def seen(loads, entry, now_s):
-    """Return what an entry is told, by replica."""
-    return {use.replica: use.running for use in loads.of_others(entry, now_s)}
+    """Return what an entry is told, by replica, without the idle ones."""
+    told = loads.of_others(entry, ORDER, now_s)
+    assert told.edition == 7
+    running = zip(ORDER.replicas, told.running, strict=True)
+    return {name: count for name, count in running if count}
 
 
 def test_entry_hears_of_the_others_only():
@@ -47,18 +57,22 @@
     assert seen(loads, 'e0', 2.0) == expected
 
 
-def test_packed_loads_cost_a_few_bytes_a_replica():
+def test_loads_cost_a_few_bytes_a_replica():
     """Sixty replicas that all are in use take less than 300 bytes."""
     names = [f'i-{number:010x}' for number in range(60)]
     used = [
         ReplicaUse(replica=name, running=12, backlog_ms=900) for name in names
     ]
-    packed = pack_loads(1 << 40, names, used)
-    assert set(packed.running) == {12}
-    assert packed.ByteSize() < 300
+    loads = FleetLoads()
+    loads.take('e1', used, 0.0)
+    told = loads.of_others('e2', make_load_order(1 << 40, names), 0.0)
+    assert set(told.running) == {12}
+    assert told.ByteSize() < 300
 
 
 def test_replica_named_twice_has_one_place():
     """As in the book of an entry, which holds each name once."""
-    packed = pack_loads(1, ['r', 's', 'r'], uses(r=3, s=1))
-    assert list(packed.running) == [3, 1]
+    loads = FleetLoads()
+    loads.take('e1', uses(r=3, s=1), 0.0)
+    order = make_load_order(1, ['r', 's', 'r'])
+    assert list(loads.of_others('e2', order, 0.0).running) == [3, 1]
