--- a/bench/capacity/routed.py
+++ b/bench/capacity/routed.py
@@ -12,7 +12,10 @@
 from bench.capacity.fits import fit_rows
 from bench.capacity.heartbeats import make_leadership
 from bench.capacity.system import light_host
-from snipebridge.control.heartbeats import answer_heartbeat
+from snipebridge.control.heartbeats import (
+    ENTRY_LIST_AGE_S,
+    answer_heartbeat,
+)
 from snipebridge.control.leader import Leadership
 from snipebridge.rpc.commands_pb2 import Command, RoutingCommand
 from snipebridge.rpc.control_pb2 import (
@@ -58,6 +61,8 @@
     requests = [_request(number, listed, rng) for number in range(entries)]
     for request in requests:
         _answer(leadership, request)
+    # The list of entries is made anew when it is so old: now of all of them.
+    time.sleep(2 * ENTRY_LIST_AGE_S)
     whole = _answer(leadership, requests[0])
     held = HeartbeatRequest(
         entries_digest=whole.entries_digest,
