Keep sessions on a version that bears everything when a replica falls silent

A replica of the new version was silent for 1.3 s, the entry moved the request, and since a version that failed a request was left by it in every state of the roll-out, it went back to the old version.

Ruled out: an entry that did not know the share (its replica was of the new version); the draw of replicas or the slower heartbeats of large fleets, which choose among what is eligible.

Change: on trial any fault still sends a request to the old version. Once the version bears everything, only an answer that fails does; a silence or a cut says nothing about the version, and its other replicas are asked.

Tests: a silent replica of a version at its whole share leaves the request there (failed before). test_request_that_failed_on_trial now says that the fault was an answer, which the call did not tell before; its expectation and the case on trial stand.

--- a/snipebridge/relay/choosing.py
+++ b/snipebridge/relay/choosing.py
@@ -130,6 +130,7 @@
             request.session or request.attempt_id,
             now_s,
             exchange.progress.failed_software,
+            exchange.progress.erring_software,
         )
         left = [one for one in eligible if one.id not in excluded]
         trusted = [one for one in left if one.trust.is_open(now_s)]
--- a/snipebridge/relay/exchange.py
+++ b/snipebridge/relay/exchange.py
@@ -44,8 +44,10 @@
     status: int = 0
     confidence: float | None = None
     last_event_id: str = ''
-    # Software versions whose replicas failed this request.
+    # Software versions whose replicas failed this request in any way, and
+    # those that answered it with a failure.
     failed_software: set[str] = field(default_factory=set)
+    erring_software: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -67,6 +67,7 @@
         if failed:
             replica.trust.note_failure(self._parts.clock.monotonic_s())
             self._avoid(run, f'answered {run.head.status}')
+            self._exchange.progress.erring_software.add(replica.software)
         else:
             replica.trust.note_success()
         is_slow = self._is_slow(run)
--- a/snipebridge/relay/software.py
+++ b/snipebridge/relay/software.py
@@ -102,11 +102,15 @@
         session: str,
         draw_key: str,
         now_s: float,
-        avoided: Collection[str] = (),
+        failed: Collection[str] = (),
+        erring: Collection[str] = (),
     ) -> list[Replica]:
         """Return the replicas whose version this request may use.
 
         A request that a version on trial has failed goes to the others.
+        Once the version bears everything, a replica that fell silent or broke
+        off says nothing about it, and sessions stay there; only a version
+        that answered with a failure is left.
         """
         rollout = self._rollouts.get(service)
         if rollout is None:
@@ -118,7 +122,9 @@
             return target or others
         if rollout.state == REVERTED or self._is_stopped(service):
             return others
-        if rollout.target in avoided and others:
+        is_whole = rollout.share_permille >= WHOLE_PERMILLE
+        left = erring if is_whole else failed
+        if rollout.target in left and others:
             return others
         if rollout.share_permille and target:
             pinned = self._pinned(service, session, now_s)
--- a/tests/relay/test_software.py
+++ b/tests/relay/test_software.py
@@ -120,7 +120,7 @@
     """It does not pay for the trial with all its attempts."""
     choice = SoftwareChoice(5.0)
     tell(choice, share_permille=1000)
-    found = choice.eligible(OLD + NEW, 's', '', 'k', 0.0, avoided={'v2'})
+    found = choice.eligible(OLD + NEW, 's', '', 'k', 0.0, {'v2'}, {'v2'})
     assert {one.software for one in found} == {'v1'}
 
 
@@ -137,3 +137,16 @@
     assert versions(choice) == {'v2'}
     tell(choice, share_permille=1000, number=2)
     assert versions(choice) == {'v2'}
+
+
+def test_silent_replica_does_not_send_sessions_back():
+    """Only on trial, or after an answer that fails, the old one goes on."""
+    choice = SoftwareChoice(5.0)
+    for share, erring, expected in (
+        (190, set(), 'v1'),
+        (1000, set(), 'v2'),
+        (1000, {'v2'}, 'v1'),
+    ):
+        tell(choice, share_permille=share)
+        found = choice.eligible(OLD + NEW, 's', 'a', 'a', 0.0, {'v2'}, erring)
+        assert {one.software for one in found} == {expected}
