Keep each process going after an unexpected error in one duty

At an entry it was worse: its background tasks ended unseen, so an error while a heartbeat's reply was applied left an entry without heartbeats until it was restarted. A message between replicas with an entry out of order, or a term at the limit of its field, went into the core; an unknown kind of cache event ended the polling of that engine. The transport went on after a broad except without a log line.

Ruled out: catching errors around the loop of a process. It hides which duty failed, and one failing duty holds up the others.

Handlers of gRPC are guarded by an interceptor. Messages between replicas are checked before the core takes them (snipebridge/consensus/validation.py). What must still end its process is a replica whose log or disk can't be trusted: what was not written must not be acknowledged. `_NS_PER_MS` stood twice in snipebridge/clock.py.

--- a/snipebridge/clock.py
+++ b/snipebridge/clock.py
@@ -7,7 +7,6 @@
 import time
 from typing import Protocol
 
-_NS_PER_MS = 1_000_000
 _NS_PER_MS = 1_000_000
 _LEASE_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
--- a/snipebridge/consensus/driver.py
+++ b/snipebridge/consensus/driver.py
@@ -21,7 +21,9 @@
 from snipebridge.consensus.messages import ReadGrant, Ready, Snapshot
 from snipebridge.consensus.storage import Storage
 from snipebridge.consensus.transport import Transport
+from snipebridge.consensus.validation import envelope_fault
 from snipebridge.consensus.waiting import Barriers, Submissions
+from snipebridge.logs import log_event
 from snipebridge.rpc.commands_pb2 import Command
 from snipebridge.rpc.consensus_pb2 import Envelope, LogEntry
 
@@ -103,10 +105,21 @@
         self._fail_waiting('the replica stopped')
 
     def receive(self, envelope: Envelope) -> None:
-        """Take a message from a peer."""
-        if self.failure is None:
-            self._guarded(self.core.step, envelope, self._clock.monotonic_s())
-            self.notice()
+        """Take a message from a peer; refuse one that no peer should send."""
+        if self.failure is not None:
+            return
+        fault = envelope_fault(envelope, self.core.state.log.last_index)
+        if fault:
+            log_event(
+                'message_refused',
+                sender=envelope.sender,
+                body=envelope.WhichOneof('body') or '',
+                term=envelope.term,
+                reason=fault,
+            )
+            return
+        self._guarded(self.core.step, envelope, self._clock.monotonic_s())
+        self.notice()
 
     def notice(self) -> None:
         """Let the work go on after the core was given something."""
--- a/snipebridge/consensus/transport.py
+++ b/snipebridge/consensus/transport.py
@@ -16,9 +16,11 @@
 from grpc import aio
 
 from snipebridge.consensus.messages import Timing
+from snipebridge.logs import log_event
 from snipebridge.rpc.consensus_pb2 import Envelope, Envelopes
 from snipebridge.rpc.consensus_pb2_grpc import ConsensusStub
 from snipebridge.settings.models import PeerTlsSettings
+from snipebridge.supervision import describe
 
 MAX_MESSAGE_BYTES = 16_777_216
 MAX_BATCH_BYTES = 1_048_576
@@ -137,10 +139,12 @@
             await self._filled.wait()
             try:
                 await self._deliver(self._take())
-            except Exception:
+            except Exception as error:
                 # An address that can't be parsed must not end the task.
+                self._log_first(error)
                 await self._recover()
             else:
+                self._log_regained()
                 self._failures = 0
 
     async def _deliver(self, batch: Envelopes) -> None:
@@ -157,6 +161,20 @@
         call = ConsensusStub(self._channel).Deliver
         await call(batch, timeout=self._timing.election_timeout_s / 2)
 
+    def _log_regained(self) -> None:
+        if self._failures:
+            log_event('peer_regained', peer=self._name, failures=self._failures)
+
+    def _log_first(self, error: Exception) -> None:
+        """Log that the peer is lost; more failures in a row say no more."""
+        if not self._failures:
+            log_event(
+                'peer_lost',
+                peer=self._name,
+                address=self._address,
+                **describe(error),
+            )
+
     async def _recover(self) -> None:
         await self._drop_channel()
         self._failures += 1
--- a/snipebridge/control/duties.py
+++ b/snipebridge/control/duties.py
@@ -11,6 +11,7 @@
 from snipebridge.controllers.leases import EntryLease
 from snipebridge.controllers.planners import RolloutDecision
 from snipebridge.logs import log_decision, log_event
+from snipebridge.supervision import Duty, Supervisor, make_supervisor
 from snipebridge.rpc.commands_pb2 import (
     RAN_UNKNOWN,
     Command,
@@ -33,12 +34,22 @@
 class LeaderDuties:
     """Roll-outs, shares, entries that left, and requests that were lost."""
 
-    __slots__ = ('_configured', '_hurried', '_leadership', '_orders')
+    __slots__ = (
+        '_configured',
+        '_hurried',
+        '_leadership',
+        '_orders',
+        '_supervisor',
+    )
 
     def __init__(
-        self, leadership: Leadership, orders: Orders | None = None
+        self,
+        leadership: Leadership,
+        orders: Orders | None = None,
+        supervisor: Supervisor | None = None,
     ) -> None:
         """Start before the first round."""
+        self._supervisor = supervisor or make_supervisor()
         self._leadership = leadership
         self._orders = orders
         self._hurried: set[str] = set()
@@ -57,7 +68,9 @@
         loop = asyncio.get_running_loop()
         next_round_s = loop.time()
         while True:
-            await self._leadership.follow_replica()
+            await self._supervisor.run_once(
+                'follow_replica', self._leadership.follow_replica
+            )
             is_due = loop.time() >= next_round_s or self._is_urgent()
             if self._leadership.is_in_office() and is_due:
                 next_round_s = loop.time() + ROUND_S
@@ -77,21 +90,21 @@
         return is_new
 
     async def do_round(self) -> None:
-        """Do each duty once; what fails is tried again in the next round."""
-        try:
-            await self._do_duties()
-        except ConsensusError as error:
-            log_event('round_failed', code=error.code, message=error.message)
-        if self._orders is not None:
-            self._orders.do_round()
+        """Do each duty once; what fails is tried again in a later round.
 
-    async def _do_duties(self) -> None:
-        self._configure()
-        self._share_out()
-        await self._decide_rollouts()
-        await self._withdraw()
-        await self._finish_lost_records()
-        await self._drop_entries()
+        An error in one duty does not keep the others from being done.
+        """
+        for name, duty in (
+            ('configure', self._configure),
+            ('shares', self._share_out),
+            ('rollouts', self._decide_rollouts),
+            ('withdrawals', self._withdraw),
+            ('lost_records', self._finish_lost_records),
+            ('entries_left', self._drop_entries),
+        ):
+            await self._supervisor.run_once(name, _unless_refused(duty))
+        if self._orders is not None:
+            await self._supervisor.run_once('orders', self._orders.do_round)
 
     def _configure(self) -> None:
         leadership = self._leadership
@@ -201,6 +214,20 @@
                 log_decision('entry_left', entry=entry.name)
 
 
+def _unless_refused(duty: Duty) -> Duty:
+    """Return a duty that ends early where the log does not take its change."""
+
+    async def attempt() -> None:
+        try:
+            pending = duty()
+            if pending is not None:
+                await pending
+        except ConsensusError as error:
+            log_event('round_failed', code=error.code, message=error.message)
+
+    return attempt
+
+
 def _is_gone(entry: EntryLease, now_s: float) -> bool:
     silent = now_s - entry.last_heartbeat_s >= ENTRY_SILENT_LIMIT_S
     return entry.has_expired(now_s) and (entry.leaving or silent)
--- a/snipebridge/control/process.py
+++ b/snipebridge/control/process.py
@@ -28,7 +28,7 @@
     make_control_state_machine,
 )
 from snipebridge.errors import SnipebridgeError
-from snipebridge.fleet.duties import RoutedDuties, make_routed_duties
+from snipebridge.fleet.duties import make_routed_duties
 from snipebridge.fleet.joining import Joining
 from snipebridge.logs import log_event
 from snipebridge.rpc import control_pb2_grpc
@@ -36,8 +36,8 @@
 from snipebridge.settings.models import Settings
 from snipebridge.settings.seeds import resolve_control_seeds, seed_addresses
 from snipebridge.settings.watching import SettingsWatch
+from snipebridge.supervision import Duty, Supervisor
 from snipebridge.tls import make_tls_files
-from snipebridge.upstreams.client import make_upstream_client
 from snipebridge.upstreams.engine import Engine, make_engine
 
 _DRAIN_POLL_S = 0.02
@@ -64,6 +64,7 @@
         '_server',
         '_service',
         '_settings',
+        '_supervisor',
         '_tasks',
         '_tls',
         'http_port',
@@ -76,7 +77,6 @@
         settings: Settings,
         leadership: Leadership,
         orders: Orders | None,
-        routed: RoutedDuties | None = None,
     ) -> None:
         """Build the parts; `start` makes them listen."""
         self.leadership = leadership
@@ -84,12 +84,15 @@
         self.rpc_address = ''
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
-        self._duties = LeaderDuties(leadership, orders)
         metrics = ControlMetrics(leadership)
+        self._supervisor = Supervisor(metrics.registry, leadership.clock)
+        self._duties = LeaderDuties(leadership, orders, self._supervisor)
         self._service = ControlService(leadership, metrics)
         pool = make_channel_pool(settings.peer_tls)
         self._forwarder = GrpcForwarder(pool)
-        self._routed = routed
+        self._routed = make_routed_duties(
+            settings, leadership, self._supervisor
+        )
         self._joining = Joining(
             pool, settings.process, seed_addresses(settings)
         )
@@ -120,16 +123,13 @@
             raise ControlError(f'can not listen: {error}') from error
         await self._server.start()
         await self.leadership.replica.start()
-        self._tasks.append(asyncio.create_task(self._duties.run()))
+        self._spawn('leader_duties', self._duties.run)
         if self._routed is not None:
-            self._tasks.append(asyncio.create_task(self._routed.run()))
+            self._spawn('routed_duties', self._routed.run)
         if self._settings.seeds.addresses:
-            joining = self._joining.run(
-                self.leadership.replica, self.rpc_address
-            )
-            self._tasks.append(asyncio.create_task(joining))
+            self._spawn('joining', self._join)
         if self._tls is not None:
-            self._tasks.append(asyncio.create_task(self._tls.run()))
+            self._spawn('tls_files', self._tls.run)
         log_event('listening', http=self.http_port, rpc=self.rpc_address)
 
     def take_settings(self, settings: Settings) -> None:
@@ -169,6 +169,13 @@
         while self._service.under_way or self._api.under_way:
             await asyncio.sleep(_DRAIN_POLL_S)
 
+    async def _join(self) -> None:
+        await self._joining.run(self.leadership.replica, self.rpc_address)
+
+    def _spawn(self, name: str, duty: Duty) -> None:
+        running = self._supervisor.keep_running(name, duty)
+        self._tasks.append(asyncio.create_task(running))
+
     def _bind(self) -> None:
         settings = self._settings
         self.rpc_address = bind_server(
@@ -179,7 +186,7 @@
         self.http_port = sockets[0].getsockname()[1]
 
     def _make_server(self) -> aio.Server:
-        server = make_server()
+        server = make_server(self._supervisor)
         control_pb2_grpc.add_ControlServicer_to_server(self._service, server)
         add_operators_to_server(self._api, server)
         self.leadership.replica.add_to_server(server)
@@ -217,9 +224,7 @@
     orders = None
     if engine is not None:
         orders = make_orders(leadership, engine, settings.control)
-    return ControlProcess(
-        settings, leadership, orders, make_routed_duties(settings, leadership)
-    )
+    return ControlProcess(settings, leadership, orders)
 
 
 async def serve(
@@ -245,7 +250,7 @@
     planners = Planners(
         rollouts=PlannedRollouts(), shares=make_share_planner(clock)
     )
-    engine = make_engine(make_upstream_client())
+    engine = make_engine()
     process = make_control(settings, machine, replica, clock, planners, engine)
     await process.start()
     watching = asyncio.create_task(
--- a/snipebridge/controllers/upstream_monitor.py
+++ b/snipebridge/controllers/upstream_monitor.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 from snipebridge.clock import Clock
@@ -15,6 +16,7 @@
     ReplicaSelector,
     ReplicaView,
 )
+from snipebridge.supervision import Supervisor, make_supervisor
 from snipebridge.upstreams.engine import Engine
 from snipebridge.upstreams.errors import UpstreamError
 from snipebridge.upstreams.hosts import HostDirectory
@@ -55,6 +57,7 @@
         '_reported_states',
         '_selector',
         '_state_changes',
+        '_supervisor',
         '_tasks',
     )
 
@@ -66,8 +69,10 @@
         clock: Clock,
         host_interval_s: float,
         limits: LoadListener,
+        supervisor: Supervisor | None = None,
     ) -> None:
         """Start without upstreams."""
+        self._supervisor = supervisor or make_supervisor()
         self._selector = selector
         self._engine = engine
         self._directory = directory
@@ -91,7 +96,10 @@
             self._tasks.pop(key).cancel()
         for key, upstream in configured.items():
             if key not in self._tasks:
-                self._tasks[key] = asyncio.create_task(self._poll(upstream))
+                polling = self._supervisor.keep_running(
+                    'poll_upstream', partial(self._poll, upstream), key
+                )
+                self._tasks[key] = asyncio.create_task(polling)
 
     async def run(self) -> None:
         """Read the host list periodically until cancelled."""
@@ -177,6 +185,7 @@
         events = [
             CacheEvent(event.sequence, CacheEventKind(event.kind), event.prefix)
             for event in page.events
+            if event.kind in _EVENT_KINDS
         ]
         self._selector.prefixes.record_events(
             upstream.name,
--- a/snipebridge/entry.py
+++ b/snipebridge/entry.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any
 
 import grpc
 from tornado.httpserver import HTTPServer
@@ -20,6 +18,7 @@
 from snipebridge.settings.models import ListenerSettings, Settings
 from snipebridge.settings.seeds import seed_addresses
 from snipebridge.settings.watching import SettingsWatch
+from snipebridge.supervision import Duty
 from snipebridge.tls import TlsFiles, make_tls_files
 
 _LEAVING_GRACE_S = 1.0
@@ -38,7 +37,8 @@
         self._settings = settings
         self._clock = clock
         self._parts = parts
-        self._server = make_server()
+        self._supervisor = parts.supervisor
+        self._server = make_server(self._supervisor)
         self._http: HTTPServer | None = None
         self._tls: TlsFiles | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -85,14 +85,14 @@
         )
         await self._server.start()
         parts.link.set_address(address)
-        for work in (
-            parts.link.run(),
-            parts.recorder.run(),
-            parts.gate.run(),
-            parts.limits.run(),
-            parts.watch.run(),
+        for name, duty in (
+            ('heartbeats', parts.link.run),
+            ('recorder', parts.recorder.run),
+            ('admission', parts.gate.run),
+            ('pool_limits', parts.limits.run),
+            ('host_list', parts.watch.run),
         ):
-            self._spawn(work)
+            self._spawn(name, duty)
         self._listen(listener)
         log_event('started', http_port=self.http_port, rpc_address=address)
 
@@ -139,10 +139,11 @@
         self._http.add_sockets(sockets)
         self.http_port = sockets[0].getsockname()[1]
         if self._tls is not None:
-            self._spawn(self._tls.run())
+            self._spawn('tls_files', self._tls.run)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, name: str, duty: Duty) -> None:
+        running = self._supervisor.keep_running(name, duty)
+        self._tasks.append(asyncio.create_task(running))
 
 
 def make_http_server(
--- a/snipebridge/entry_parts.py
+++ b/snipebridge/entry_parts.py
@@ -25,6 +25,7 @@
 from snipebridge.reporting import EntryReporter
 from snipebridge.rpc.channels import make_channel_pool
 from snipebridge.settings.models import Settings
+from snipebridge.supervision import Supervisor
 from snipebridge.upstreams.client import UpstreamClient, make_upstream_client
 from snipebridge.upstreams.engine import make_engine
 from snipebridge.upstreams.hosts import make_host_directory
@@ -44,6 +45,7 @@
     limits: PoolLimits
     watch: UpstreamMonitor
     metrics: EntryMetrics
+    supervisor: Supervisor
     ratings: RatingClient
     client: UpstreamClient
 
@@ -60,6 +62,8 @@
     limits = make_pool_limits(name, gate, clock)
     client = make_upstream_client()
     replicas = make_replica_selector(settings.process.data_centre, entry=name)
+    metrics = make_entry_metrics()
+    supervisor = Supervisor(metrics.registry, clock)
     watch = UpstreamMonitor(
         replicas,
         make_engine(client),
@@ -67,6 +71,7 @@
         clock,
         settings.entry.host_list_interval_s,
         limits,
+        supervisor,
     )
     reporter = EntryReporter(
         name, learning, directory, gate, limits, watch, clock, rng
@@ -92,7 +97,8 @@
         gate=gate,
         limits=limits,
         watch=watch,
-        metrics=make_entry_metrics(),
+        metrics=metrics,
+        supervisor=supervisor,
         ratings=RatingClient(
             make_rater(client, settings.entry.rater_url), learning
         ),
--- a/snipebridge/fleet/duties.py
+++ b/snipebridge/fleet/duties.py
@@ -12,6 +12,7 @@
 from snipebridge.policy.software_rollouts import RolloutBounds
 from snipebridge.rpc.consensus_pb2 import Member
 from snipebridge.settings.models import Settings
+from snipebridge.supervision import Supervisor, make_supervisor
 from snipebridge.upstreams.client import make_upstream_client
 from snipebridge.upstreams.errors import UpstreamError
 from snipebridge.upstreams.replica_list import (
@@ -32,7 +33,9 @@
 
 
 def make_routed_duties(
-    settings: Settings, leadership: Leadership
+    settings: Settings,
+    leadership: Leadership,
+    supervisor: Supervisor | None = None,
 ) -> 'RoutedDuties | None':
     """Return the duties for entries that route to services, if any do."""
     url = settings.replica_list.url
@@ -43,7 +46,7 @@
         client = make_upstream_client()
         reader = make_replica_list(client, url, leadership.clock)
     hears = getattr(leadership.replica, 'hears', lambda name: True)
-    return RoutedDuties(settings, leadership, reader, hears)
+    return RoutedDuties(settings, leadership, reader, hears, supervisor)
 
 
 class RoutedDuties:
@@ -57,6 +60,7 @@
         '_reader',
         '_settings',
         '_software',
+        '_supervisor',
     )
 
     def __init__(
@@ -65,8 +69,10 @@
         leadership: Leadership,
         reader: ReplicaListReader | None,
         is_live: IsLive,
+        supervisor: Supervisor | None = None,
     ) -> None:
         """Keep the parts; without a reader there is no list to read."""
+        self._supervisor = supervisor or make_supervisor()
         self._settings = settings
         self._leadership = leadership
         self._reader = reader
@@ -84,14 +90,14 @@
         interval_s = self._settings.replica_list.interval_s
         while self._reader is not None:
             if self._leadership.is_in_office():
-                await self._read_list(self._reader)
+                await self._supervisor.run_once('read_list', self._read_list)
                 await asyncio.sleep(interval_s)
             else:
                 await asyncio.sleep(ROUND_S / 4)
 
-    async def _read_list(self, reader: ReplicaListReader) -> None:
+    async def _read_list(self) -> None:
         try:
-            read = await reader.read()
+            read = await self._reader.read()
         except UpstreamError as error:
             log_event('list_unread', code=error.code, message=error.message)
             return
@@ -117,6 +123,11 @@
             await asyncio.sleep(ROUND_S)
 
     async def _do_round(self) -> None:
+        run_once = self._supervisor.run_once
+        await run_once('software_rollouts', self._move_rollouts)
+        await run_once('voters', self._keep_voters)
+
+    async def _move_rollouts(self) -> None:
         leadership = self._leadership
         commands = self._software.commands(
             leadership.machine.software_rollouts.by_service.values(),
@@ -128,7 +139,6 @@
                 await leadership.replica.submit(commands)
             except ConsensusError as error:
                 log_event('round_failed', code=error.code, error=error.message)
-        self._keep_voters()
 
     def _keep_voters(self) -> None:
         if not self._settings.seeds.addresses:
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any
 
 import grpc
 from tornado.httpserver import HTTPServer
@@ -25,6 +23,7 @@
 from snipebridge.settings.models import ListenerSettings, Settings
 from snipebridge.settings.seeds import resolve_entry_seeds, seed_addresses
 from snipebridge.settings.watching import SettingsWatch
+from snipebridge.supervision import Duty, Supervisor
 from snipebridge.upstreams.client import make_upstream_client
 from snipebridge.upstreams.connections import ConnectionPool
 from snipebridge.upstreams.replica_list import make_replica_list
@@ -56,6 +55,7 @@
         self._servers: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = RelayMetrics()
+        self._supervisor = Supervisor(self._metrics.registry, clock)
         self._pool = ConnectionPool()
         self._state = RelayState(SoftwareSelector(settings.promises.session_s))
         self._reporter = RelayReporter(self._state, clock)
@@ -118,8 +118,8 @@
         self.ready_port = self._listen(pages, settings.ready_listener)
         if settings.metrics_listener.port:
             self._listen(pages, settings.metrics_listener)
-        self._spawn(self._link.run())
-        self._spawn(self._clean_up_pool())
+        self._spawn('heartbeats', self._link.run)
+        self._spawn('connection_pool', self._clean_up_pool)
         self._spawn_fallback()
         log_event('started', http_port=self.http_port)
 
@@ -172,7 +172,7 @@
             self._rng,
             self._pool.drop,
         )
-        self._spawn(fallback.run())
+        self._spawn('replica_list', fallback.run)
 
     async def _clean_up_pool(self) -> None:
         while True:
@@ -193,8 +193,9 @@
         self._servers.append(server)
         return sockets[0].getsockname()[1]
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, name: str, duty: Duty) -> None:
+        running = self._supervisor.keep_running(name, duty)
+        self._tasks.append(asyncio.create_task(running))
 
 
 async def serve(
--- a/snipebridge/rpc/channels.py
+++ b/snipebridge/rpc/channels.py
@@ -6,7 +6,9 @@
 
 import grpc
 
+from snipebridge.rpc.guard import HandlerGuard
 from snipebridge.settings.models import ListenerSettings, PeerTlsSettings
+from snipebridge.supervision import Supervisor, make_supervisor
 
 _KEEPALIVE_MS = 2000
 _KEEPALIVE_TIMEOUT_MS = 1000
@@ -52,9 +54,10 @@
     )
 
 
-def make_server() -> grpc.aio.Server:
+def make_server(supervisor: Supervisor | None = None) -> grpc.aio.Server:
     """Return a server without services or ports yet."""
-    return grpc.aio.server(options=_SERVER_OPTIONS)
+    guard = HandlerGuard(supervisor or make_supervisor())
+    return grpc.aio.server(options=_SERVER_OPTIONS, interceptors=(guard,))
 
 
 def bind_server(
--- a/snipebridge/upstreams/engine.py
+++ b/snipebridge/upstreams/engine.py
@@ -20,6 +20,7 @@
     UpstreamCall,
     UpstreamClient,
     UpstreamResponse,
+    make_upstream_client,
 )
 from snipebridge.upstreams.errors import InvalidResponseError, StatusError
 
@@ -234,9 +235,9 @@
         return await self._client.fetch(call)
 
 
-def make_engine(client: UpstreamClient) -> Engine:
+def make_engine(client: UpstreamClient | None = None) -> Engine:
     """Return the adapter for engines over HTTP."""
-    return HttpEngine(client)
+    return HttpEngine(client or make_upstream_client())
 
 
 class _StreamSink(ResponseSink):
--- /dev/null
+++ b/tests/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the channels and servers between our own processes."""
