Leave failed connections out of attempts and of the retry budget

Besides, a failed connection raised not_run_count although dispatch_count had not been raised, so a request got one more attempt for each (listed in docs/FINDINGS.md as read, not run).

Change: a failed connection is counted apart, bounded as before together with refusals, and its charge is refunded: the rule counts arrivals. It opens the circuit breaker of the replica at once, since no request can cause it.

The refund has tests of its own without a network.

--- a/snipebridge/policy/circuit_breaker.py
+++ b/snipebridge/policy/circuit_breaker.py
@@ -1,8 +1,9 @@
 """Circuit breaker and failure rate of a replica, from request outcomes.
 
 Health checks may be wrong or late, so only the outcomes of real requests
-count. After several consecutive failures a replica gets no requests for a
-pause that doubles each time. Its failure rate adds to its placement cost.
+count. After several consecutive failures, or one connection that failed, a
+replica gets no requests for a pause that doubles each time. Its failure rate
+adds to its placement cost.
 
 >>> breaker = CircuitBreaker()
 >>> for _ in range(3):
@@ -49,12 +50,21 @@
         self.failure_share *= 1 - _SMOOTHING
 
     def record_failure(self, now_s: float) -> None:
-        """Count a failure of the replica or of the connection to it."""
+        """Count a failure of a request that was sent to the replica."""
+        self._count_failure()
+        if self._consecutive_failures >= FAILURE_THRESHOLD:
+            self._open(now_s)
+
+    def record_unreachable(self, now_s: float) -> None:
+        """Count a connection that failed, which no request can cause."""
+        self._count_failure()
+        self._open(now_s)
+
+    def _count_failure(self) -> None:
         self.failure_share += _SMOOTHING * (1 - self.failure_share)
         self._consecutive_failures += 1
-        if (
-            self._consecutive_failures >= FAILURE_THRESHOLD
-            and self.allows_requests(now_s)
-        ):
+
+    def _open(self, now_s: float) -> None:
+        if self.allows_requests(now_s):
             self._open_until_s = now_s + self._pause_s
             self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
--- a/snipebridge/policy/retry_window.py
+++ b/snipebridge/policy/retry_window.py
@@ -68,6 +68,12 @@
         self._histories[service].retries.append(now_s)
         return True
 
+    def refund(self, service: str) -> None:
+        """Take back the newest retry of a service, which was not sent."""
+        history = self._histories.get(service)
+        if history is not None and history.retries:
+            history.retries.pop()
+
     def _current(self, service: str, now_s: float) -> _RequestHistory:
         history = self._histories.setdefault(service, _RequestHistory())
         history.discard_before(now_s - self._window_s)
--- a/snipebridge/relay/attempt_limits.py
+++ b/snipebridge/relay/attempt_limits.py
@@ -4,8 +4,8 @@
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.exchange import RelayExchange
 
-# Attempts that certainly did not run do not count towards the attempt limit
-# of the route. This bounds them when every replica is full.
+# Refused requests and failed connections do not count towards the attempt
+# limit of the route. This bounds them when every replica is full or gone.
 _MAX_NOT_RUN = 3
 # Share of the remaining time that an attempt may wait for its first byte
 # while another attempt can still follow.
@@ -27,8 +27,10 @@
         '_exchange',
         '_dependencies',
         '_route',
+        '_has_charge',
         'dispatch_count',
-        'not_run_count',
+        'failed_connections',
+        'refused_count',
     )
 
     def __init__(
@@ -38,9 +40,13 @@
         self._dependencies = dependencies
         self._exchange = exchange
         self._route = exchange.route
-        # Requests sent to replicas, and attempts that certainly did not run.
+        # Requests sent to replicas, and those of them that were refused.
         self.dispatch_count = 0
-        self.not_run_count = 0
+        self.refused_count = 0
+        # Attempts that ended before anything was sent.
+        self.failed_connections = 0
+        # Whether the next attempt is charged to the retry budget.
+        self._has_charge = False
 
     def denial_reason(self) -> str:
         """Return why no further attempt is allowed, empty if one is.
@@ -50,24 +56,30 @@
         progress = self._exchange.progress
         if progress.ran is not Ran.NO and not self._route.allows_retry:
             return 'the request may have run and must not be retried'
-        if self.not_run_count > _MAX_NOT_RUN:
+        if self.refused_count + self.failed_connections > _MAX_NOT_RUN:
             return 'too many replicas refused the request'
         if self.attempts_left() < 1:
             return 'no attempt is left'
-        if self.dispatch_count and not self._dependencies.retries.try_acquire(
-            progress.service,
-            self._dependencies.entry_count(),
-            self._dependencies.clock.monotonic_s(),
-        ):
+        if self.dispatch_count and not self._charge():
             return 'the retry budget is spent'
         return ''
 
+    def record_failed_connection(self) -> None:
+        """Count an attempt that sent nothing, and take its charge back.
+
+        The retry budget limits what reaches replicas, and this did not.
+        """
+        self.failed_connections += 1
+        if self._has_charge:
+            self._has_charge = False
+            self._dependencies.retries.refund(self._exchange.progress.service)
+
     def attempts_left(self) -> int:
         """Return how many attempts the route still allows."""
         return (
             self._route.attempts_limit
             - self.dispatch_count
-            + self.not_run_count
+            + self.refused_count
         )
 
     def may_escalate(self) -> bool:
@@ -99,6 +111,14 @@
             return self.remaining_s()
         return max(MIN_READ_TIMEOUT_S, _READ_TIMEOUT_SHARE * pause_s)
 
+    def _charge(self) -> bool:
+        self._has_charge = self._dependencies.retries.try_acquire(
+            self._exchange.progress.service,
+            self._dependencies.entry_count(),
+            self._dependencies.clock.monotonic_s(),
+        )
+        return self._has_charge
+
     def _has_budget(self, share: float) -> bool:
         return self._dependencies.retries.has_budget(
             self._exchange.progress.service,
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -42,7 +42,7 @@
     def record_refusal(self, attempt: Attempt) -> None:
         """Count a response saying that the request did not run."""
         replica = attempt.choice.replica
-        self._limits.not_run_count += 1
+        self._limits.refused_count += 1
         self.excluded.add(replica.id)
         self.last_error = f'{replica.id} refused with {attempt.head.status}'
         replica.is_replaced = replica.is_replaced or attempt.head.is_misdirected
@@ -51,13 +51,14 @@
     def record_fault(self, attempt: Attempt, error: UpstreamError) -> None:
         """Count an attempt that ended without a valid response."""
         replica = attempt.choice.replica
-        replica.circuit_breaker.record_failure(
-            self._dependencies.clock.monotonic_s()
-        )
+        now_s = self._dependencies.clock.monotonic_s()
         self._exclude(attempt, error.message)
         if isinstance(error, ConnectError):
-            self._limits.not_run_count += 1
+            self._limits.record_failed_connection()
+            replica.circuit_breaker.record_unreachable(now_s)
             self._dependencies.pool.drop(replica.id)
+        else:
+            replica.circuit_breaker.record_failure(now_s)
         self._event_interval = EventInterval()
         self._exchange.progress.resumptions += self._exchange.reply.started
         self._log(attempt, error.code, error.message)
--- a/tests/policy/test_relay_policies.py
+++ b/tests/policy/test_relay_policies.py
@@ -194,3 +194,22 @@
         ModelPrefillSpeed('n', 0.3),
     ]
     assert not fleet.middle(1.0 + REPORT_VALID_S)
+
+
+def test_a_refused_connection_is_evidence_at_once():
+    """One entry meets a given replica rarely, so it can't wait for three."""
+    breaker = CircuitBreaker()
+    breaker.record_unreachable(now_s=1.0)
+    assert not breaker.allows_requests(1.5)
+    assert breaker.allows_requests(2.5)
+
+
+def test_a_refunded_retry_can_be_used_again():
+    window = RetryWindow(ratio=0.0, slack=2.0 / 0.85, window_s=10.0)
+    assert window.try_acquire('s', 1, 0.0)
+    assert window.try_acquire('s', 1, 0.1)
+    assert not window.try_acquire('s', 1, 0.2)
+    window.refund('s')
+    assert window.try_acquire('s', 1, 0.3)
+    assert not window.try_acquire('s', 1, 0.4)
+    window.refund('unknown')
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -8,6 +8,7 @@
 
 from fakes.platform_caller import DOCUMENT, read_answer, request_bytes
 from fakes.platform_replica import PlatformReplica
+from snipebridge.policy.circuit_breaker import CircuitBreaker
 from tests.relay.running_entry import RunningEntry
 
 
@@ -526,3 +527,28 @@
             assert entry.replicas[0].connections == 1
 
     run(scenario())
+
+
+def test_failed_connections_add_no_attempts():
+    """A route with two attempts sends a request to two replicas at most."""
+
+    async def scenario():
+        replicas = [plain_replica(f'd{number}') for number in range(5)]
+        async with RunningEntry(*replicas) as entry:
+            await replicas[0].stop()
+            for replica in replicas[1:]:
+                replica.faults.fails = True
+            for number in range(12):
+                name = f'b{number}'
+                replicas_of_entry = entry.process._state.replicas.by_id
+                replicas_of_entry['d0'].circuit_breaker = CircuitBreaker()
+                await entry.request('/look/x', headers={'X-Attempt-Id': name})
+                arrived = [
+                    one
+                    for replica in replicas
+                    for one in replica.runs
+                    if one.attempt_id == name
+                ]
+                assert len(arrived) <= 2
+
+    run(scenario())
