Send the routing document packed, and answer 503 where an entry may be behind

An entry whose heartbeats fail kept answering 404 and 401 from what it held, until its lease ended after 3 s.

Change: the document travels compressed (zlib, the fastest level), packed once a version by the leader, to entries that say that they read it; others get it plain, so builds can be mixed. Unpacking is bounded. An entry that was not confirmed for convergence_ms less 0.3 s says 503 in place of 404 or 401; known routes and keys are served on under the lease. The bound is a setting (promises.convergence_ms).

Tests: a document of 400 routes shrinks to less than a tenth; damaged and oversized packed bytes are an error of the layer; both builds get the document; an entry without an answer of control says 503 (404 and 401 before).

--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -24,7 +24,7 @@
     routed.take_report(request, process, now_s)
     reply.routing_version = machine.routing.version
     if request.routing_version < machine.routing.version:
-        reply.routing = machine.routing.document
+        _add_routing(leadership, request, reply)
     reply.controls.extend(
         member.address for member in leadership.replica.members()
     )
@@ -45,6 +45,18 @@
         )
 
 
+def _add_routing(
+    leadership: Leadership, request: HeartbeatRequest, reply: HeartbeatReply
+) -> None:
+    routing = leadership.machine.routing
+    if request.reads_packed_routing:
+        reply.packed_routing = leadership.routed.packed.pack(
+            routing.version, routing.document
+        )
+    else:
+        reply.routing = routing.document
+
+
 def _list(
     leadership: Leadership, request: HeartbeatRequest, now_s: float
 ) -> ReplicaList:
--- a/snipebridge/relay/filter_chain.py
+++ b/snipebridge/relay/filter_chain.py
@@ -10,6 +10,7 @@
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.filters import (
     AccountFilter,
+    Currency,
     DeadlineFilter,
     LogFilter,
     RouteFilter,
@@ -23,6 +24,8 @@
 from snipebridge.settings.models import Settings
 from snipebridge.upstreams.connections import ConnectionPool
 
+_MS_PER_S = 1000
+
 
 def make_filters(
     settings: Settings,
@@ -53,10 +56,11 @@
         entry_count=lambda: reporter.entry_count,
         report_now=link.send_now,
     )
+    currency = Currency(link, clock, promises.convergence_ms / _MS_PER_S)
     return (
         LogFilter(clock, metrics),
-        RouteFilter(),
-        AccountFilter(link, clock),
+        RouteFilter(currency),
+        AccountFilter(link, clock, currency),
         DeadlineFilter(clock),
         ForwardFilter(dependencies),
     )
--- a/snipebridge/relay/filters.py
+++ b/snipebridge/relay/filters.py
@@ -23,6 +23,8 @@
 # A host that alone has lost its lease regains it with the next heartbeats;
 # callers retry about then, at another host.
 _NO_LEASE_RETRY_AFTER_S = 0.5
+# Part of the convergence bound kept for the way of a request to its answer.
+_CONVERGENCE_MARGIN_S = 0.3
 CALLER_LEFT = 'caller_left'
 
 
@@ -94,10 +96,42 @@
         )
 
 
+class Currency:
+    """Tells whether this host holds every change that must be in force.
+
+    A host that has not been confirmed for nearly as long as a change may take
+    might lack a route or a key. It then answers that the request has not run,
+    and not that the route or the key does not exist.
+    """
+
+    __slots__ = ('_clock', '_max_age_s', '_source')
+
+    def __init__(
+        self, source: LeaseSource, clock: Clock, convergence_s: float
+    ) -> None:
+        """Use the lease of a source, and the bound of the operators."""
+        self._source = source
+        self._clock = clock
+        self._max_age_s = max(0.0, convergence_s - _CONVERGENCE_MARGIN_S)
+
+    def check(self) -> None:
+        """Raise `NotRunError` if this host may be behind."""
+        lease = self._source.lease
+        if not lease.is_confirmed(self._clock.monotonic_s(), self._max_age_s):
+            raise NotRunError(
+                'this host may be behind the configuration',
+                _NO_LEASE_RETRY_AFTER_S,
+            )
+
+
 class RouteFilter:
     """Finds the route of a request."""
 
-    __slots__ = ()
+    __slots__ = ('_currency',)
+
+    def __init__(self, currency: Currency) -> None:
+        """Refuse an unknown route only where this host is current."""
+        self._currency = currency
 
     async def run(self, exchange: RelayExchange, proceed: Proceed) -> None:
         """Reject a request without a route or with too long a body."""
@@ -109,6 +143,7 @@
             )
         exchange.route = exchange.table.find_route(request.host, request.path)
         if exchange.route is None:
+            self._currency.check()
             raise UnknownRouteError(f'no route for host {request.host}')
         limit_bytes = exchange.table.limits.body_limit_bytes
         if len(request.body) > limit_bytes:
@@ -123,12 +158,15 @@
     so without a lease no request that needs a key is forwarded.
     """
 
-    __slots__ = ('_clock', '_source')
+    __slots__ = ('_clock', '_currency', '_source')
 
-    def __init__(self, source: LeaseSource, clock: Clock) -> None:
+    def __init__(
+        self, source: LeaseSource, clock: Clock, currency: Currency
+    ) -> None:
         """Use the lease of a source."""
         self._source = source
         self._clock = clock
+        self._currency = currency
 
     async def run(self, exchange: RelayExchange, proceed: Proceed) -> None:
         """Reject an unknown key."""
@@ -142,6 +180,7 @@
             )
         account = exchange.table.find_account(exchange.request.key)
         if account is None:
+            self._currency.check()
             raise UnknownKeyError('no account has this key')
         exchange.account = account
         await proceed()
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 
 from snipebridge.clock import Clock
+from snipebridge.fleet.packing import PackingError, unpack
 from snipebridge.logs import log_decision, log_event
 from snipebridge.relay.state import RelayState
-from snipebridge.routing.documents import read_table
+from snipebridge.routing.documents import DOCUMENT_LIMIT_BYTES, read_table
 from snipebridge.routing.errors import DocumentError
 from snipebridge.routing.tables import RoutingTable
 from snipebridge.rpc.control_pb2 import (
@@ -51,6 +52,7 @@
         self._sent_at_s = self._clock.monotonic_s()
         request.entries_digest = self._entries_digest
         request.routing_version = self.table.version
+        request.reads_packed_routing = True
         request.replicas_edition = self._replicas.edition
         request.software_outcomes.extend(self._software.outcomes())
         request.replica_uses.extend(self._replicas.local_usage())
@@ -87,13 +89,21 @@
         )
 
     def _take_routing(self, reply: HeartbeatReply) -> None:
-        if not reply.routing or reply.routing_version <= self.table.version:
+        document = reply.routing or reply.packed_routing
+        if not document or reply.routing_version <= self.table.version:
             return
         try:
-            table = read_table(reply.routing)
-        except DocumentError as error:
-            # Control has validated it, so this process is of an older release.
-            log_event('routing_unread', error=error.message)
+            if not reply.routing:
+                document = unpack(document, DOCUMENT_LIMIT_BYTES)
+            table = read_table(document)
+        except (DocumentError, PackingError) as error:
+            # Control has validated it, so this process is of an older release
+            # or the message was damaged.
+            log_event(
+                'routing_unread',
+                version=reply.routing_version,
+                error=error.message,
+            )
             return
         self.table = table
         self.on_table_change(table)
--- a/snipebridge/routing/documents.py
+++ b/snipebridge/routing/documents.py
@@ -101,6 +101,10 @@
         return actual
 
 
+# Far above the largest document that fits into a message between processes.
+DOCUMENT_LIMIT_BYTES = 16_777_216
+
+
 def read_table(document: bytes) -> RoutingTable:
     """Return the table that a document describes.
 
--- a/snipebridge/settings/models.py
+++ b/snipebridge/settings/models.py
@@ -94,6 +94,7 @@
 
     revocation_ms: float = 5000.0
     drain_ms: float = 3000.0
+    convergence_ms: float = 2000.0
     grace_s: float = 8.0
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
--- a/tests/relay/running_entry.py
+++ b/tests/relay/running_entry.py
@@ -57,11 +57,15 @@
         """Start as the leader, granting a lease only."""
         self.reply = HeartbeatReply(leader=True, lease_s=5.0)
         self.requests = []
+        # No leader is in office.
+        self.is_silent = False
 
     async def Heartbeat(self, request, context) -> HeartbeatReply:
         """Return the reply, without routes that the entry already has."""
         self.requests.append(request)
         reply = HeartbeatReply()
+        if self.is_silent:
+            return reply
         reply.CopyFrom(self.reply)
         reply.report_id = request.report_id
         if request.routing_version >= reply.routing_version:
