Leave a silent stream at a replica that can be reached

A replica that reads two long prompts on the strongest model pauses its streams for a second by itself (9,190 tokens at 38.4 a ms, three times as long on that model).

Ruled out: only a longer limit. A replica that is gone would then be found later than its keep-alive does today.

Change: after 0.6 of the pause objective the entry opens a connection to the replica (0.25 s at most). If that fails the stream is resumed elsewhere, sooner than before; if it succeeds the stream stays for up to 2.5 pause objectives, after which it is resumed as one that hangs.

Tests: a stream that pauses 1.4 objectives runs once, and twice if its replica is gone meanwhile; the first fails before. A test of the retry budget has a longer stall, so that it still tells the two streams apart.

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -99,6 +99,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def close_listener(self) -> None:
+        """Take no new connections; the open ones stay silent or go on."""
+        self._server.close()
+
     def entry(self) -> dict:
         """Return the entry of the platform's list."""
         return {
--- a/snipebridge/relay/attempt_limits.py
+++ b/snipebridge/relay/attempt_limits.py
@@ -13,9 +13,13 @@
 # Share of the retry budget available to escalations; the rest is reserved for
 # retries of failed attempts.
 _ESCALATION_SHARE = 0.8
-# Share of the pause objective that a stream may be silent. The rest is needed
-# to resume it at another replica.
-_READ_TIMEOUT_SHARE = 0.8
+# Share of the pause objective after which a silent replica is checked. The
+# rest is needed to resume the stream elsewhere if the replica is gone.
+_READ_TIMEOUT_SHARE = 0.6
+# Pause objectives that a stream of a replica that can be reached may be silent:
+# while it reads long prompts of others it sends nothing, and another replica
+# would have to read this prompt again.
+_SILENCE_LIMIT = 2.5
 MIN_READ_TIMEOUT_S = 0.5
 _MIN_REMAINING_S = 0.001
 
@@ -111,6 +115,10 @@
             return self.remaining_s()
         return max(MIN_READ_TIMEOUT_S, _READ_TIMEOUT_SHARE * pause_s)
 
+    def silence_limit_s(self) -> float:
+        """Return how long a stream of a reachable replica may be silent."""
+        return _SILENCE_LIMIT * self._route.pause_objective_s
+
     def _charge(self) -> bool:
         self._has_charge = self._dependencies.retries.try_acquire(
             self._exchange.progress.service,
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -304,20 +304,34 @@
     async def _read_stream(self, attempt: Attempt) -> bytes:
         """Return the next chunk of a stream, empty at its end.
 
-        A replica that sends bytes of other responses meanwhile is only slow.
-        Resuming the stream elsewhere would process the prompt again there.
+        A replica that sends bytes of other responses meanwhile, or that can be
+        reached, is only slow for a while. Resuming the stream elsewhere would
+        process the prompt again there.
         """
+        clock = self._dependencies.clock
+        started_s = clock.monotonic_s()
         while True:
             try:
                 return await attempt.read(self._limits.read_timeout_s())
             except ResponseTimeoutError:
-                since_s = (
-                    self._dependencies.clock.monotonic_s() - MIN_READ_TIMEOUT_S
-                )
-                is_alive = attempt.choice.replica.has_sent_since(since_s)
-                if self._limits.can_retry() and not is_alive:
+                silent_s = clock.monotonic_s() - started_s
+                if self._limits.can_retry() and await self._is_lost(
+                    attempt, silent_s
+                ):
                     raise
 
+    async def _is_lost(self, attempt: Attempt, silent_s: float) -> bool:
+        """Tell whether a replica whose stream is silent is to be given up."""
+        replica = attempt.choice.replica
+        since_s = self._dependencies.clock.monotonic_s() - MIN_READ_TIMEOUT_S
+        if replica.has_sent_since(since_s):
+            return False
+        if not self._exchange.reply.started:
+            return True
+        if silent_s >= self._limits.silence_limit_s():
+            return True
+        return not await self._dependencies.pool.can_reach(replica.address)
+
     def _record_fault(self, attempt: Attempt, error: UpstreamError) -> None:
         self._splitter.reset()
         self._outcomes.record_fault(attempt, error)
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -20,6 +20,9 @@
 # A handshake takes a few milliseconds. A lost handshake packet is retransmitted
 # after one second; another replica would have responded by then.
 CONNECT_TIMEOUT_S = 0.6
+# A check whether a silent replica is still there must not add much to the
+# silence that its caller sees.
+REACHABLE_TIMEOUT_S = 0.25
 # Default and upper limit of the idle time. A shorter Keep-Alive time-out of a
 # replica lowers it; the margin covers replicas that close connections earlier
 # than announced.
@@ -260,6 +263,15 @@
             connection.abort()
         return await self._open(address)
 
+    async def can_reach(self, address: str) -> bool:
+        """Tell whether a replica accepts a connection now, and close it."""
+        try:
+            connection = await self._open(address, REACHABLE_TIMEOUT_S)
+        except ConnectError:
+            return False
+        connection.abort()
+        return True
+
     def release(self, replica: str, connection: ReplicaConnection) -> None:
         """Keep a connection for the next request, or close it."""
         if not connection.is_reusable():
@@ -292,12 +304,14 @@
         for replica in list(self._idle):
             self.drop(replica)
 
-    async def _open(self, address: str) -> ReplicaConnection:
+    async def _open(
+        self, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ReplicaConnection:
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: ReplicaConnection(address), host, int(port)
                 )
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -325,7 +325,8 @@
         ) as entry:
             for replica in entry.replicas:
                 replica.faults.stalls_after_events = 3
-                replica.faults.stall_s = 1.0
+                # Longer than a replica that can be reached may be silent.
+                replica.faults.stall_s = 2.5
             answers = await asyncio.gather(entry.chat(), entry.chat())
             assert all(answer.is_whole for answer in answers)
             runs = [one for replica in entry.replicas for one in replica.runs]
@@ -552,3 +553,33 @@
                 assert len(arrived) <= 2
 
     run(scenario())
+
+
+@pytest.mark.parametrize('is_gone', [False, True])
+def test_silent_stream_moves_only_if_its_replica_is_gone(is_gone):
+    """A replica that reads long prompts pauses all its streams.
+
+    It is silent for longer than the pause objective, and can be reached. One
+    that can't be reached any more is given up before the objective is over.
+    """
+
+    async def scenario():
+        async with RunningEntry(
+            engine_replica('m1'), engine_replica('m2')
+        ) as entry:
+            for replica in entry.replicas:
+                replica.faults.stalls_after_events = 2
+                replica.faults.stall_s = 1.0
+            asked = asyncio.create_task(entry.chat())
+            await entry.wait_until(
+                lambda: any(replica.runs for replica in entry.replicas)
+            )
+            if is_gone:
+                first = next(one for one in entry.replicas if one.runs)
+                first.close_listener()
+            answer = await asked
+            assert answer.is_whole
+            runs = [one for replica in entry.replicas for one in replica.runs]
+            assert len(runs) == 1 + is_gone
+
+    run(scenario())
