Bound bytes that are no answer, in size and in time

Cause: a replica may send bytes without end in a head or a body. The parser kept a header value until it was whole, a body that was buffered had no limit, bytes for a slow caller were read ahead without limit, and an event of a stream was kept until its end. A stream that sent a byte now and then counted as alive until its deadline.

Beyond these the connection is closed, the attempt failed, and the request retried or answered. Only whole events count as progress of a stream.

--- a/snipebridge/relay/attempt_limits.py
+++ b/snipebridge/relay/attempt_limits.py
@@ -115,9 +115,19 @@
             return self.remaining_s()
         return max(MIN_READ_TIMEOUT_S, _READ_TIMEOUT_SHARE * pause_s)
 
-    def silence_limit_s(self) -> float:
-        """Return how long a stream of a reachable replica may be silent."""
-        return _SILENCE_LIMIT * self._route.pause_objective_s
+    def is_hung(self, silent_s: float) -> bool:
+        """Tell whether a started stream is to be resumed elsewhere now.
+
+        A replica that can be reached is given more time than one that can't.
+        """
+        limit_s = _SILENCE_LIMIT * self._route.pause_objective_s
+        has_started = self._exchange.reply.started and limit_s > 0
+        return (
+            has_started
+            and silent_s >= limit_s
+            and self._route.allows_retry
+            and self.can_retry()
+        )
 
     def _charge(self) -> bool:
         self._has_charge = self._dependencies.retries.try_acquire(
--- a/snipebridge/relay/dependencies.py
+++ b/snipebridge/relay/dependencies.py
@@ -10,6 +10,7 @@
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.policy.tiers import TierPolicy
+from snipebridge.relay.buffers import BufferBudget
 from snipebridge.relay.messages import HeaderCodec
 from snipebridge.relay.metrics import RelayMetrics
 from snipebridge.relay.replica_placement import ReplicaPlacer
@@ -37,3 +38,4 @@
     tiers: TierPolicy = field(default_factory=TierPolicy)
     price: CongestionPrice = field(default_factory=CongestionPrice)
     latency_baseline: LatencyBaseline = field(default_factory=LatencyBaseline)
+    buffers: BufferBudget = field(default_factory=BufferBudget)
--- a/snipebridge/relay/events.py
+++ b/snipebridge/relay/events.py
@@ -12,6 +12,10 @@
 
 import re
 
+from snipebridge.upstreams.errors import InvalidResponseError
+
+# Far above an event of several tokens.
+_EVENT_LIMIT_BYTES = 262_144
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 
@@ -27,13 +31,20 @@
         self.remainder = b''
 
     def split(self, chunk: bytes) -> bytes:
-        """Return the events that the chunk completes."""
+        """Return the events that the chunk completes.
+
+        Raises `InvalidResponseError` for an event that does not end.
+        """
         buffered = self.remainder + chunk
         end = 0
         for match in _EVENT_END.finditer(buffered):
             end = match.end()
         complete = buffered[:end]
         self.remainder = buffered[end:]
+        if len(self.remainder) > _EVENT_LIMIT_BYTES:
+            raise InvalidResponseError(
+                f'an event has not ended after {len(self.remainder)} bytes'
+            )
         ids = _ID_LINE.findall(complete)
         if ids:
             self.last_id = ids[-1].decode('latin1')
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -264,25 +264,32 @@
         return True
 
     async def _read_body(self, attempt: Attempt) -> bytes:
-        parts = []
-        while True:
-            chunk = await attempt.read(self._limits.remaining_s())
-            if not chunk:
-                return b''.join(parts)
-            parts.append(chunk)
+        buffer = self._dependencies.buffers.open()
+        try:
+            while True:
+                chunk = await attempt.read(self._limits.remaining_s())
+                if not chunk:
+                    return buffer.content
+                buffer.add(chunk)
+        finally:
+            buffer.close()
 
     async def _relay_stream(self, attempt: Attempt) -> None:
         """Pass complete events on as they arrive."""
         at_end = False
+        clock = self._dependencies.clock
+        progress_s = clock.monotonic_s()
         while not at_end:
-            chunk = await self._read_stream(attempt)
+            chunk = await self._read_stream(attempt, progress_s)
             at_end = not chunk
-            await self._pass_events(
-                attempt,
+            events = (
                 self._splitter.remainder
                 if at_end
-                else self._splitter.split(chunk),
+                else self._splitter.split(chunk)
             )
+            if events:
+                await self._pass_events(attempt, events)
+                progress_s = clock.monotonic_s()
         if not self._exchange.reply.started:
             raise InvalidResponseError('the stream ended without an event')
         self._outcomes.record_response(attempt)
@@ -290,8 +297,6 @@
         self._exchange.outcome = COMPLETE
 
     async def _pass_events(self, attempt: Attempt, events: bytes) -> None:
-        if not events:
-            return
         reply = self._exchange.reply
         if not reply.started:
             self._outcomes.record_first_byte(attempt)
@@ -301,20 +306,23 @@
         self._outcomes.record_events(events, self._splitter.last_id)
         await reply.write(events)
 
-    async def _read_stream(self, attempt: Attempt) -> bytes:
+    async def _read_stream(self, attempt: Attempt, progress_s: float) -> bytes:
         """Return the next chunk of a stream, empty at its end.
 
         A replica that sends bytes of other responses meanwhile, or that can be
         reached, is only slow for a while. Resuming the stream elsewhere would
-        process the prompt again there.
+        process the prompt again there. Only whole events count as progress,
+        so single bytes now and then do not keep a stream at a replica.
         """
         clock = self._dependencies.clock
-        started_s = clock.monotonic_s()
         while True:
+            silent_s = clock.monotonic_s() - progress_s
+            if self._limits.is_hung(silent_s):
+                raise ResponseTimeoutError('no event ended in time')
             try:
                 return await attempt.read(self._limits.read_timeout_s())
             except ResponseTimeoutError:
-                silent_s = clock.monotonic_s() - started_s
+                silent_s = clock.monotonic_s() - progress_s
                 if self._limits.can_retry() and await self._is_lost(
                     attempt, silent_s
                 ):
@@ -328,7 +336,7 @@
             return False
         if not self._exchange.reply.started:
             return True
-        if silent_s >= self._limits.silence_limit_s():
+        if self._limits.is_hung(silent_s):
             return True
         return not await self._dependencies.pool.can_reach(replica.address)
 
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -33,7 +33,12 @@
 _USER_TIMEOUT_MS = 1500
 _KEEPALIVE_S = 1
 _KEEPALIVE_PROBES = 2
-_HEADER_LIMIT_BYTES = 65_536
+# Limit of a response's head, and of what comes between two bytes of its body:
+# framing, extensions, trailers. A replica may send bytes that are no response
+# without end.
+_OVERHEAD_LIMIT_BYTES = 65_536
+# Body bytes that wait for a slow reader; more are left in the network.
+_BUFFER_LIMIT_BYTES = 262_144
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = frozenset((204, 304))
 
@@ -70,6 +75,7 @@
             self._is_unusable = True
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -77,6 +83,7 @@
                 InvalidResponseError(f'the response is not valid HTTP: {error}')
             )
             self.abort()
+        self._limit_bytes()
         self._notify()
 
     def eof_received(self) -> bool:
@@ -104,9 +111,6 @@
         """Keep a header; one after the complete response is ignored."""
         if self._is_complete:
             return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > _HEADER_LIMIT_BYTES:
-            raise InvalidResponseError('the response header is too large')
         self._headers.append((name.decode('latin1'), value.decode('latin1')))
 
     def on_headers_complete(self) -> None:
@@ -136,6 +140,8 @@
         """Buffer a chunk of the body until it is read."""
         if not self._is_complete:
             self._chunks.append(chunk)
+            self._buffered_bytes += len(chunk)
+            self._overhead_bytes = 0
 
     def on_message_begin(self) -> None:
         """Detect a second response after the complete one."""
@@ -181,6 +187,10 @@
         await self._wait(lambda: self._chunks or self._is_complete, timeout_s)
         chunk = b''.join(self._chunks)
         self._chunks.clear()
+        self._buffered_bytes = 0
+        if self._is_paused and not self._transport.is_closing():
+            self._is_paused = False
+            self._transport.resume_reading()
         return chunk
 
     def abort(self) -> None:
@@ -192,7 +202,9 @@
     def _reset(self, method: str) -> None:
         self._method = method
         self._headers: Headers = []
-        self._head_bytes = 0
+        self._overhead_bytes = 0
+        self._buffered_bytes = 0
+        self._is_paused = False
         self._chunks: deque[bytes] = deque()
         self._has_head = False
         self._is_framed = False
@@ -203,6 +215,19 @@
         self._waiter: asyncio.Future[None] | None = None
         self.status = 0
 
+    def _limit_bytes(self) -> None:
+        """Fail a response without a body in sight; hold a fast one back."""
+        if self._overhead_bytes > _OVERHEAD_LIMIT_BYTES:
+            self._fail(
+                InvalidResponseError(
+                    f'{self._overhead_bytes} bytes came without a body'
+                )
+            )
+            self.abort()
+        elif self._buffered_bytes > _BUFFER_LIMIT_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
     async def _wait(self, is_ready, timeout_s: float) -> None:
         deadline_s = self._loop.time() + timeout_s
         while not is_ready():
