Tell why a process ends in one line of its log

Drafts that were kept did not say whether the budget stopped them.

Change: `event:process_failed` with the cause, `event:process_ended` at a planned end; a data folder that can't be used is a ControlError, after which the gRPC server is stopped. `decision:draft` says whether the retry budget allowed an escalation, and how much prefill work and which share of the slots is in use in the pool, as all entries reported it (policy/pool_congestion.py, which decides nothing yet).

Open: a leader whose disk is full ends and is started again, as before; handing the lead over and waiting for room was not tried.

--- a/snipebridge/cli/commands.py
+++ b/snipebridge/cli/commands.py
@@ -17,11 +17,12 @@
 from snipebridge.environment import Environment
 from snipebridge.exits import ExitStatus
 from snipebridge.keys import make_key, make_key_hash, make_salt
-from snipebridge.logs import start_logging
+from snipebridge.logs import log_event, start_logging
 from snipebridge.settings.loading import load_settings
 from snipebridge.settings.models import Settings
 from snipebridge.settings.promises import apply_promises
 from snipebridge.settings.watching import SettingsWatch
+from snipebridge.supervision import describe
 
 Command = Callable[[flags.FlagValues, Sequence[str], Environment], ExitStatus]
 Serve = Callable[
@@ -172,7 +173,12 @@
     serve: Serve, settings: Settings, watch: SettingsWatch
 ) -> ExitStatus:
     start_logging(settings.log, settings.process.name)
-    asyncio.run(_serve_until_signal(serve, settings, watch))
+    try:
+        asyncio.run(_serve_until_signal(serve, settings, watch))
+    except Exception as error:
+        log_event('process_failed', **describe(error))
+        raise
+    log_event('process_ended')
     return ExitStatus.OK
 
 
--- a/snipebridge/control/process.py
+++ b/snipebridge/control/process.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-from grpc import aio
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
@@ -14,6 +13,7 @@
 from snipebridge.admin.api import AdminApi
 from snipebridge.admin.forwarding import GrpcForwarder, add_operators_to_server
 from snipebridge.clock import Clock, SystemClock
+from snipebridge.consensus.errors import StorageError
 from snipebridge.consensus.interfaces import Replica
 from snipebridge.consensus.replica import make_replica
 from snipebridge.control.duties import LeaderDuties
@@ -32,7 +32,12 @@
 from snipebridge.fleet.joining import Joining
 from snipebridge.logs import log_event
 from snipebridge.rpc import control_pb2_grpc
-from snipebridge.rpc.channels import bind_server, make_channel_pool, make_server
+from snipebridge.rpc.channels import (
+    RpcServer,
+    bind_server,
+    make_channel_pool,
+    make_server,
+)
 from snipebridge.settings.models import Settings
 from snipebridge.settings.seeds import resolve_control_seeds, seed_addresses
 from snipebridge.settings.watching import SettingsWatch
@@ -122,7 +127,7 @@
         except (OSError, RuntimeError) as error:
             raise ControlError(f'can not listen: {error}') from error
         await self._server.start()
-        await self.leadership.replica.start()
+        await self._start_replica()
         self._spawn('leader_duties', self._duties.run)
         if self._routed is not None:
             self._spawn('routed_duties', self._routed.run)
@@ -169,6 +174,15 @@
         while self._service.under_way or self._api.under_way:
             await asyncio.sleep(_DRAIN_POLL_S)
 
+    async def _start_replica(self) -> None:
+        try:
+            await self.leadership.replica.start()
+        except (OSError, StorageError) as error:
+            await self._server.stop(None)
+            raise ControlError(
+                f'the data folder can not be used: {error}'
+            ) from error
+
     async def _join(self) -> None:
         await self._joining.run(self.leadership.replica, self.rpc_address)
 
@@ -185,7 +199,7 @@
         self._http.add_sockets(sockets)
         self.http_port = sockets[0].getsockname()[1]
 
-    def _make_server(self) -> aio.Server:
+    def _make_server(self) -> RpcServer:
         server = make_server(self._supervisor)
         control_pb2_grpc.add_ControlServicer_to_server(self._service, server)
         add_operators_to_server(self._api, server)
--- a/snipebridge/relay/model_selection.py
+++ b/snipebridge/relay/model_selection.py
@@ -1,6 +1,7 @@
 """Selects the model of each attempt and escalates drafts of cheap models."""
 
 from snipebridge.logs import log_decision
+from snipebridge.policy.pool_congestion import mean_load
 from snipebridge.policy.tiers import DraftState, value_density
 from snipebridge.relay.attempt_limits import AttemptLimits
 from snipebridge.relay.attempts import Attempt
@@ -44,9 +45,10 @@
             return ''
         state = self._state(attempt)
         model = self._dependencies.tiers.next_tier(self._tiers, state)
-        if model and not self._limits.may_escalate():
+        has_budget = self._limits.may_escalate()
+        if not has_budget:
             model = ''
-        self._log(state, model)
+        self._log(state, model, has_budget=has_budget)
         return model
 
     def _state(self, attempt: Attempt) -> DraftState:
@@ -81,8 +83,12 @@
             placement.uncached_tokens,
         )
 
-    def _log(self, state: DraftState, next_model: str) -> None:
+    def _log(
+        self, state: DraftState, next_model: str, *, has_budget: bool
+    ) -> None:
         expected_s = min(state.expected_s, _MAX_LOGGED_S)
+        service = self._exchange.progress.service
+        load = mean_load(self._dependencies.placer.pool(service))
         log_decision(
             'draft',
             request_id=self._exchange.request.attempt_id,
@@ -94,4 +100,7 @@
             expected_ms=round(expected_s * _MS_PER_S),
             objective_left_ms=round(state.objective_left_s * _MS_PER_S),
             attempts_left=state.attempts_left,
+            has_budget=has_budget,
+            pool_backlog_ms=round(load.backlog_ms),
+            pool_used_share=round(load.used_share, 2),
         )
--- a/snipebridge/relay/replica_placement.py
+++ b/snipebridge/relay/replica_placement.py
@@ -14,6 +14,7 @@
     ReplicaLoad,
     choose,
 )
+from snipebridge.policy.pool_congestion import PoolMember
 from snipebridge.relay.exchange import RelayExchange
 from snipebridge.relay.replicas import Replica
 from snipebridge.relay.state import RelayState
@@ -115,6 +116,18 @@
         shape = prompt_shape(exchange, model)
         return choose(loads, shape, speed, self._rng)
 
+    def pool(self, service: str) -> list[PoolMember]:
+        """Return what is under way at each replica of a service."""
+        now_s = self._clock.monotonic_s()
+        return [
+            PoolMember(
+                replica.total_backlog_ms,
+                replica.estimated_running(now_s),
+                replica.slots,
+            )
+            for replica in self._replicas.available_for(service)
+        ]
+
     def _candidates(
         self,
         exchange: RelayExchange,
--- a/snipebridge/rpc/channels.py
+++ b/snipebridge/rpc/channels.py
@@ -39,6 +39,8 @@
     ('grpc.so_reuseport', 0),
 )
 
+RpcServer = grpc.aio.Server
+
 
 def make_channel(address: str, tls: PeerTlsSettings) -> grpc.aio.Channel:
     """Return a channel to another process, with TLS where it is set."""
