--- a/bench/platform_system.py
+++ b/bench/platform_system.py
@@ -37,6 +37,7 @@
 THRESHOLDS = {
     'revocation_ms': 5000,
     'drain_ms': 3000,
+    'convergence_ms': 2000,
     'grace_period_s': 8,
     'retry_budget_ratio': 0.9,
     'retry_window_s': 10,
--- a/tests/policy/test_binomial.py
+++ b/tests/policy/test_binomial.py
@@ -5,7 +5,7 @@
 from fractions import Fraction
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from snipebridge.policy.binomial import binomial_tail
@@ -25,6 +25,8 @@
     )
 
 
+# A share with many digits makes the exact sum slow.
+@settings(deadline=None)
 @given(
     st.integers(0, 60).flatmap(
         lambda tries: st.tuples(st.integers(-1, tries + 1), st.just(tries))
