Give a canary as many replicas as its share of the traffic needs

All of the canary share, 63 to 252 in 1,000, went to one of 39 replicas, so that one had two to ten times the load that it would have with all traffic. With 9 replicas and a share of 97 in 1,000 one replica is right, which is how it was found good on the first sites.

Change: the canary share is served by as many replicas as give each the load of later, at least one, in the order of a hash that all entries compute alike. A larger share adds replicas. New sessions avoid those with a long backlog.

Test: at 39 replicas and three shares the load of a canary replica is 1.0 to 1.5 times the later one (2.5 to 9.8 times before); at three replicas one is used, as before.

--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -301,19 +301,28 @@
     others: list[Replica],
     pinned: str,
 ) -> list[Replica]:
-    """Return the single replica that serves the whole canary share.
+    """Return the few replicas that serve the whole canary share.
 
-    Spread over all replicas, a small share would not show how the version
-    performs under its later load. New sessions avoid a canary replica with a
-    long backlog.
+    There are as many as give each the load that it will have with all traffic,
+    and at least one: spread over more, a small share would not show how the
+    version performs under that load, and on fewer a good version of a large
+    pool would look slow. New sessions avoid canary replicas with a long backlog.
     """
     if rollout.share_permille >= WHOLE_PERMILLE:
         return target
-    chosen = min(target, key=lambda replica: _rollout_hash(rollout, replica.id))
-    is_overloaded = chosen.total_backlog_ms > _MAX_CANARY_BACKLOG_MS
-    if is_overloaded and others and not pinned:
-        return others
-    return [chosen]
+    count = max(1, len(target) * rollout.share_permille // WHOLE_PERMILLE)
+    ordered = sorted(
+        target, key=lambda replica: _rollout_hash(rollout, replica.id)
+    )
+    chosen = ordered[:count]
+    if not others or pinned:
+        return chosen
+    free = [
+        replica
+        for replica in chosen
+        if replica.total_backlog_ms <= _MAX_CANARY_BACKLOG_MS
+    ]
+    return free or others
 
 
 def _rollout_hash(rollout: SoftwareRollout, key: str) -> int:
--- a/tests/relay/test_software_selection.py
+++ b/tests/relay/test_software_selection.py
@@ -1,5 +1,7 @@
 """Tests of the selection of a software version at one entry."""
 
+import pytest
+
 from snipebridge.relay.replicas import Replica
 from snipebridge.relay.software_selection import SoftwareSelector
 from snipebridge.rpc.control_pb2 import SoftwareRollout
@@ -65,6 +67,33 @@
     assert len(choice.eligible(OLD + NEW, 's', '', 'k', 0.0)) == len(NEW)
 
 
+@pytest.mark.parametrize('share_permille', [63, 126, 252])
+def test_canary_of_a_large_pool_gets_the_load_of_its_later_replicas(
+    share_permille,
+):
+    """On one of 39 replicas a good version would get ten times that load.
+
+    The entries agree on the replicas, and a larger share only adds some.
+    """
+    pool = [
+        Replica(f'{software}-{one}', 's', 'x:1', 'a', software, 48)
+        for software in ('v1', 'v2')
+        for one in range(39)
+    ]
+    used = set()
+    for _ in range(3):
+        choice = SoftwareSelector(5.0)
+        apply_rollout(choice, share_permille=share_permille)
+        for number in range(300):
+            found = choice.eligible(pool, 's', '', f'k{number}', 0.0)
+            used.update(one.id for one in found if one.software == 'v2')
+    load = (share_permille / 1000) / len(used)
+    assert 1.0 <= load * 39 < 1.5
+    apply_rollout(choice, share_permille=share_permille + 100)
+    raised = choice.eligible(pool, 's', '', 'k0', 0.0)
+    assert used < {one.id for one in raised} or raised[0].software == 'v1'
+
+
 def test_canary_with_long_backlog_gets_no_new_sessions():
     """Sessions already on the target stay there."""
     choice = SoftwareSelector(5.0)
