--- a/snipebridge/policy/pool_congestion.py
+++ b/snipebridge/policy/pool_congestion.py
@@ -8,7 +8,7 @@
 needs no samples of its own.
 
 >>> calm = [PoolMember(backlog_ms=40.0, running=3, slots=48)] * 8
->>> crowded = [PoolMember(backlog_ms=900.0, running=30, slots=48)] * 8
+>>> crowded = [PoolMember(backlog_ms=1500.0, running=30, slots=48)] * 8
 >>> pool_price(calm, pause_objective_s=1.0)
 0.0
 >>> pool_price(crowded, pause_objective_s=1.0) > 1.0
@@ -18,12 +18,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# Share of the pause objective that the mean queued prefill work may take: what
-# is drawn above the mean then still leaves streams within their objective.
-TARGET_SHARE = 0.25
-# Price at which the queued work takes the whole pause objective. It exceeds the
-# weight of every request, so that only drafts run.
-_PRICE_AT_OBJECTIVE = 3.0
+# Share of the pause objective that the mean queued prefill work may take before
+# engine time has a price. A pool that keeps up with long prompts has a good part
+# of it queued at any time.
+TARGET_SHARE = 0.75
+# Price for each further pause objective of queued work. At two of them it
+# exceeds the weight of every request, so that only drafts run.
+_PRICE_PER_OBJECTIVE = 3.0
 _MS_PER_S = 1000
 
 
@@ -69,5 +70,4 @@
         return 0.0
     load = mean_load(members)
     share = load.backlog_ms / (pause_objective_s * _MS_PER_S)
-    excess = (share - TARGET_SHARE) / (1.0 - TARGET_SHARE)
-    return _PRICE_AT_OBJECTIVE * max(0.0, excess)
+    return _PRICE_PER_OBJECTIVE * max(0.0, share - TARGET_SHARE)
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -92,7 +92,6 @@
     load: tuple[int, ...] = ()
     is_stream: bool = False
     is_encoded: bool = False
-    closes_connection: bool = False
 
 
 @dataclass(slots=True)
@@ -197,7 +196,6 @@
             load=_read_load(fields.get(names.load.lower(), '')),
             is_stream=content_type.startswith('text/event-stream'),
             is_encoded='content-encoding' in fields,
-            closes_connection=fields.get('connection', '').lower() == 'close',
         )
 
     def _forwarded_headers(
--- a/snipebridge/relay/replicas.py
+++ b/snipebridge/relay/replicas.py
@@ -12,8 +12,6 @@
 
 # Validity of the load that a replica reports with a response.
 LOAD_VALID_S = 1.0
-# Validity of the load of other entries, which comes with each heartbeat.
-USES_VALID_S = 2.0
 # Parts beyond the most recent ones have probably been evicted at the replica.
 _MAX_CACHED_PARTS = 600
 
