--- a/snipebridge/relay/filter_chain.py
+++ b/snipebridge/relay/filter_chain.py
@@ -10,7 +10,7 @@
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.filters import (
     AccountFilter,
-    Currency,
+    FreshnessCheck,
     DeadlineFilter,
     LogFilter,
     RouteFilter,
@@ -56,11 +56,11 @@
         entry_count=lambda: reporter.entry_count,
         report_now=link.send_now,
     )
-    currency = Currency(link, clock, promises.convergence_ms / _MS_PER_S)
+    freshness = FreshnessCheck(link, clock, promises.convergence_ms / _MS_PER_S)
     return (
         LogFilter(clock, metrics),
-        RouteFilter(currency),
-        AccountFilter(link, clock, currency),
+        RouteFilter(freshness),
+        AccountFilter(link, clock, freshness),
         DeadlineFilter(clock),
         ForwardFilter(dependencies),
     )
--- a/snipebridge/relay/filters.py
+++ b/snipebridge/relay/filters.py
@@ -96,7 +96,7 @@
         )
 
 
-class Currency:
+class FreshnessCheck:
     """Tells whether this host holds every change that must be in force.
 
     A host that has not been confirmed for nearly as long as a change may take
@@ -127,11 +127,11 @@
 class RouteFilter:
     """Finds the route of a request."""
 
-    __slots__ = ('_currency',)
+    __slots__ = ('_freshness',)
 
-    def __init__(self, currency: Currency) -> None:
+    def __init__(self, freshness: FreshnessCheck) -> None:
         """Refuse an unknown route only where this host is current."""
-        self._currency = currency
+        self._freshness = freshness
 
     async def run(self, exchange: RelayExchange, proceed: Proceed) -> None:
         """Reject a request without a route or with too long a body."""
@@ -143,7 +143,7 @@
             )
         exchange.route = exchange.table.find_route(request.host, request.path)
         if exchange.route is None:
-            self._currency.check()
+            self._freshness.check()
             raise UnknownRouteError(f'no route for host {request.host}')
         limit_bytes = exchange.table.limits.body_limit_bytes
         if len(request.body) > limit_bytes:
@@ -158,15 +158,15 @@
     so without a lease no request that needs a key is forwarded.
     """
 
-    __slots__ = ('_clock', '_currency', '_source')
+    __slots__ = ('_clock', '_freshness', '_source')
 
     def __init__(
-        self, source: LeaseSource, clock: Clock, currency: Currency
+        self, source: LeaseSource, clock: Clock, freshness: FreshnessCheck
     ) -> None:
         """Use the lease of a source."""
         self._source = source
         self._clock = clock
-        self._currency = currency
+        self._freshness = freshness
 
     async def run(self, exchange: RelayExchange, proceed: Proceed) -> None:
         """Reject an unknown key."""
@@ -180,7 +180,7 @@
             )
         account = exchange.table.find_account(exchange.request.key)
         if account is None:
-            self._currency.check()
+            self._freshness.check()
             raise UnknownKeyError('no account has this key')
         exchange.account = account
         await proceed()
