Log how each response was framed and what was left of an event

A stream that was taken for complete has an attempt line with outcome answered, whatever ended it. Change: decision:attempt has framing (length, chunks, connection_end) and unfinished_bytes. The stand-in replica ends streams without a length or chunks, by an orderly end, a reset, or the last chunk inside an event; no decision changes.

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -10,11 +10,23 @@
 """
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass, field
 
 import httptools
 
 _NEVER_S = 3600.0
+# Closing a socket with this option resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+_LAST_CHUNK = b'0\r\n\r\n'
+
+# How a stream that breaks off inside an event ends: with an orderly end of its
+# connection, a reset, or the last chunk of a body.
+BREAK_CLOSE = 'close'
+BREAK_RESET = 'reset'
+BREAK_LAST_CHUNK = 'last_chunk'
 
 
 @dataclass(slots=True)
@@ -31,8 +43,10 @@
     foreign_id: bool = False
     drops_signature: bool = False
     breaks_after_events: int = 0
+    break_form: str = BREAK_CLOSE
     stalls_after_events: int = 0
     stall_s: float = _NEVER_S
+    # Neither a length nor chunks: answers end with their connection.
     unframed: bool = False
     delay_s: float = 0.0
     confidence: dict[str, int] = field(default_factory=dict)
@@ -196,30 +210,46 @@
         model = run.headers.get('x-model-id', '')
         confidence = self.faults.confidence.get(model, 100)
         headers.append(('X-Confidence', str(confidence)))
-        headers.append(('Transfer-Encoding', 'chunked'))
+        if not self.faults.unframed:
+            headers.append(('Transfer-Encoding', 'chunked'))
         writer.write(_head(200, headers, None))
         start = int(run.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
             await self._event(run, writer, number, number - start)
-        writer.write(b'0\r\n\r\n')
+        if not self.faults.unframed:
+            writer.write(_LAST_CHUNK)
         await writer.drain()
         run.outcome = 'done'
-        return True
+        return not self.faults.unframed
 
     async def _event(self, run, writer, number: int, made: int) -> None:
         faults = self.faults
         event = f'id: {number}\ndata: {run.attempt_id} {number}\n\n'.encode()
         if faults.breaks_after_events and made > faults.breaks_after_events:
-            writer.write(_chunk(event[:7]))
-            await writer.drain()
+            writer.write(self._framed(event[:7]))
+            await self._break_off(writer)
             run.outcome = 'broken'
             raise ConnectionError('broken off inside an event')
         if faults.stalls_after_events and made > faults.stalls_after_events:
             await asyncio.sleep(faults.stall_s)
-        writer.write(_chunk(event))
+        writer.write(self._framed(event))
         await writer.drain()
         await asyncio.sleep(0.005)
 
+    async def _break_off(self, writer) -> None:
+        if self.faults.break_form == BREAK_LAST_CHUNK:
+            writer.write(_LAST_CHUNK)
+        await writer.drain()
+        if self.faults.break_form == BREAK_RESET:
+            # A reset overtakes bytes that the peer has not read.
+            await asyncio.sleep(0.05)
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+
+    def _framed(self, event: bytes) -> bytes:
+        return event if self.faults.unframed else _chunk(event)
+
     def _headers(self, run: ReplicaRun) -> list[tuple[str, str]]:
         named = 'other' if self.faults.foreign_id else run.attempt_id
         headers = [
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -5,7 +5,11 @@
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
 from snipebridge.relay.messages import HeaderCodec, ResponseHead
 from snipebridge.relay.replica_placement import Choice
-from snipebridge.upstreams.connections import ConnectionPool, ReplicaConnection
+from snipebridge.upstreams.connections import (
+    ConnectionPool,
+    Framing,
+    ReplicaConnection,
+)
 from snipebridge.upstreams.errors import InvalidResponseError
 
 _MS_PER_S = 1000
@@ -35,6 +39,7 @@
         'head',
         'is_counted',
         'sent_s',
+        'unfinished_bytes',
         'was_late',
     )
 
@@ -50,6 +55,8 @@
         self.choice = choice
         self.head: ResponseHead | None = None
         self.sent_s = 0.0
+        # Received bytes of an event that has not ended.
+        self.unfinished_bytes = 0
         self._pool = pool
         self._codec = codec
         self._prefill_speeds = prefill_speeds
@@ -72,6 +79,11 @@
         """Tell whether the replica may have received the request."""
         return self.sent_s > 0
 
+    @property
+    def framing(self) -> Framing:
+        """What delimits the body, unknown before the head has arrived."""
+        return self._connection.framing if self.head else Framing.UNKNOWN
+
     async def connect(self, max_idle_s: float) -> None:
         """Acquire a connection; on `ConnectError` nothing was sent."""
         replica = self.choice.replica
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -287,6 +287,7 @@
                 if at_end
                 else self._splitter.split(chunk)
             )
+            attempt.unfinished_bytes = len(self._splitter.remainder)
             if events:
                 await self._pass_events(attempt, events)
                 progress_s = clock.monotonic_s()
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -166,6 +166,8 @@
             reason=reason,
             status=attempt.head.status if attempt.head else 0,
             confidence=attempt.head.confidence if attempt.head else None,
+            framing=attempt.framing,
+            unfinished_bytes=attempt.unfinished_bytes,
             spent_ms=round(spent_s * _MS_PER_S, 1),
             running=replica.running,
             failure_share=round(replica.circuit_breaker.failure_share, 2),
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 from collections import deque
+from enum import StrEnum
 
 import httptools
 
@@ -45,6 +46,15 @@
 Headers = list[tuple[str, str]]
 
 
+class Framing(StrEnum):
+    """What delimits the body of a response (RFC 9112, 6.3)."""
+
+    UNKNOWN = ''
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION_END = 'connection_end'
+
+
 class ReplicaConnection(asyncio.Protocol):
     """One connection; serves one request at a time.
 
@@ -89,7 +99,7 @@
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
         self._is_unusable = True
-        if self._has_head and not self._is_framed and self._error is None:
+        if self._is_delimited_by_end() and self._error is None:
             self._is_complete = True
         self._notify()
         return False
@@ -124,11 +134,7 @@
         self.status = status
         self._has_head = True
         headers_by_name = {name.lower(): text for name, text in self._headers}
-        self._is_framed = (
-            'content-length' in headers_by_name
-            or 'transfer-encoding' in headers_by_name
-            or status in _NO_BODY_STATUSES
-        )
+        self.framing = _framing(status, headers_by_name)
         self._is_keep_alive = (
             headers_by_name.get('connection', '').lower() != 'close'
         )
@@ -150,7 +156,7 @@
 
     def on_message_complete(self) -> None:
         """Complete a response that is delimited by its length or chunks."""
-        if self._has_head and self._is_framed:
+        if self._has_head and not self._is_delimited_by_end():
             self._is_complete = True
 
     # Called by the users of the connection.
@@ -207,7 +213,7 @@
         self._is_paused = False
         self._chunks: deque[bytes] = deque()
         self._has_head = False
-        self._is_framed = False
+        self.framing = Framing.UNKNOWN
         self._is_complete = False
         self._is_unusable = False
         self._is_keep_alive = True
@@ -215,6 +221,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self.status = 0
 
+    def _is_delimited_by_end(self) -> bool:
+        return self.framing is Framing.CONNECTION_END
+
     def _limit_bytes(self) -> None:
         """Fail a response without a body in sight; hold a fast one back."""
         if self._overhead_bytes > _OVERHEAD_LIMIT_BYTES:
@@ -345,6 +354,14 @@
         return connection
 
 
+def _framing(status: int, headers_by_name: dict[str, str]) -> Framing:
+    if 'transfer-encoding' in headers_by_name:
+        return Framing.CHUNKS
+    if 'content-length' in headers_by_name or status in _NO_BODY_STATUSES:
+        return Framing.LENGTH
+    return Framing.CONNECTION_END
+
+
 def _set_socket_options(sock: socket.socket) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
