--- a/tests/relay/test_stream_ends.py
+++ b/tests/relay/test_stream_ends.py
@@ -85,3 +85,37 @@
             assert attempts[0]['unfinished_bytes'] == len(b'id: 3\nd')
 
     run(scenario())
+
+
+def ids_of(answer):
+    """Return the id lines of the events of an answer."""
+    return [line for line in answer.body.split(b'\n') if line.startswith(b'id')]
+
+
+@pytest.mark.parametrize(('unframed', 'form'), BREAKS)
+def test_stream_cut_inside_an_event_is_not_ended_as_complete(unframed, form):
+    """Nothing else can go on with it, and the answer looks broken off."""
+
+    async def scenario():
+        replicas = engine_replicas(1, unframed=unframed, form=form)
+        async with RunningEntry(*replicas) as entry:
+            answer = await entry.chat()
+            assert not answer.is_whole
+            assert ids_of(answer) == [b'id: 1', b'id: 2']
+            assert answer.body.endswith(b'\n\n')
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(('unframed', 'form'), BREAKS)
+def test_stream_cut_inside_an_event_is_resumed(unframed, form):
+    """The caller has each event once, from two replicas."""
+
+    async def scenario():
+        replicas = engine_replicas(2, unframed=unframed, form=form)
+        async with RunningEntry(*replicas) as entry:
+            answer = await entry.chat()
+            assert answer.is_whole
+            assert ids_of(answer) == [b'id: 1', b'id: 2', b'id: 3', b'id: 4']
+
+    run(scenario())
