Treat a stream that ends inside an event as broken off

Cause: at the end of a body the entry passed on what was left of an event and ended its own answer as complete. The end of a body was taken for the end of the stream. With neither a length nor chunks any orderly end of a connection ends the body, and a replica that crashes ends it too. Ruled out: a reset taken for an orderly end (those tests passed before). Not to be told from a whole stream: one that breaks off between two events without a length or chunks; nothing on the wire says so. Change: a stream ends in front of an event or it was broken off, whatever framed it. It is then resumed at another replica or the answer is broken off, and the replica's breaker counts a failure. Blank lines after the last event are passed on.

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -44,6 +44,7 @@
     drops_signature: bool = False
     breaks_after_events: int = 0
     break_form: str = BREAK_CLOSE
+    after_last_event: bytes = b''
     stalls_after_events: int = 0
     stall_s: float = _NEVER_S
     # Neither a length nor chunks: answers end with their connection.
@@ -216,6 +217,8 @@
         start = int(run.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
             await self._event(run, writer, number, number - start)
+        if self.faults.after_last_event:
+            writer.write(self._framed(self.faults.after_last_event))
         if not self.faults.unframed:
             writer.write(_LAST_CHUNK)
         await writer.drain()
--- a/snipebridge/relay/events.py
+++ b/snipebridge/relay/events.py
@@ -8,6 +8,8 @@
 b'id: 1\\ndata: a\\n\\n'
 >>> splitter.last_id, splitter.remainder
 ('1', b'id: 2\\nda')
+>>> splitter.is_inside_event()
+True
 """
 
 import re
@@ -50,6 +52,14 @@
             self.last_id = ids[-1].decode('latin1')
         return complete
 
+    def is_inside_event(self) -> bool:
+        """Tell whether a stream that ended here was broken off.
+
+        Whatever delimits its body, only a blank line ends an event. Blank
+        lines after the last event belong to none.
+        """
+        return bool(self.remainder.strip(b'\r\n'))
+
     def reset(self) -> None:
         """Drop the incomplete event; the next bytes are of a new attempt."""
         self.remainder = b''
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -276,24 +276,21 @@
 
     async def _relay_stream(self, attempt: Attempt) -> None:
         """Pass complete events on as they arrive."""
-        at_end = False
         clock = self._dependencies.clock
         progress_s = clock.monotonic_s()
-        while not at_end:
-            chunk = await self._read_stream(attempt, progress_s)
-            at_end = not chunk
-            events = (
-                self._splitter.remainder
-                if at_end
-                else self._splitter.split(chunk)
-            )
+        while chunk := await self._read_stream(attempt, progress_s):
+            events = self._splitter.split(chunk)
             attempt.unfinished_bytes = len(self._splitter.remainder)
             if events:
                 await self._pass_events(attempt, events)
                 progress_s = clock.monotonic_s()
+        if self._splitter.is_inside_event():
+            raise InvalidResponseError('the stream ended inside an event')
         if not self._exchange.reply.started:
             raise InvalidResponseError('the stream ended without an event')
         self._outcomes.record_response(attempt)
+        if self._splitter.remainder:
+            await self._exchange.reply.write(self._splitter.remainder)
         await self._exchange.reply.finish()
         self._exchange.outcome = COMPLETE
 
--- a/tests/relay/test_stream_ends.py
+++ b/tests/relay/test_stream_ends.py
@@ -119,3 +119,17 @@
             assert ids_of(answer) == [b'id: 1', b'id: 2', b'id: 3', b'id: 4']
 
     run(scenario())
+
+
+def test_blank_lines_after_the_last_event_are_no_broken_event():
+    """They are passed on, and the answer is whole."""
+
+    async def scenario():
+        replicas = engine_replicas(1, unframed=True, breaks=0)
+        replicas[0].faults.after_last_event = b'\n'
+        async with RunningEntry(*replicas) as entry:
+            answer = await entry.chat()
+            assert answer.is_whole
+            assert answer.body.endswith(b'4\n\n\n')
+
+    run(scenario())
