Reset the connection of a broken-off answer to an HTTP/1.0 caller

A caller of HTTP/1.0 gets no chunks, its answer ends with the connection, and an answer that was broken off ended with an orderly close: it looked complete. Change: such a connection is reset. Before: test_caller_of_http_1_0_can_tell_a_broken_stream_from_a_whole_one[2] failed, its broken answer read as whole; after: passes, tests/relay passes. Looked at and sound: the OpenAI form asks for a finish reason and an end marker, a plain answer without a length fails on a reset, and what control, the list or an operator sends is parsed whole.

--- a/fakes/platform_caller.py
+++ b/fakes/platform_caller.py
@@ -111,5 +111,10 @@
             if not size:
                 return
             answer.body += chunk[:-2]
-    length = int(answer.headers.get('content-length', '0'))
+    if 'content-length' not in answer.headers:
+        # Delimited by the end of the connection, which a reset is not.
+        while piece := await reader.read(65_536):
+            answer.body += piece
+        return
+    length = int(answer.headers['content-length'])
     answer.body = await reader.readexactly(length)
--- a/snipebridge/relay/server.py
+++ b/snipebridge/relay/server.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from http.client import responses
@@ -33,6 +35,9 @@
 _DISCARD_LIMIT_BYTES = 1_048_576
 # Another host accepts the request at once.
 _DRAINING_RETRY_AFTER_S = 0.02
+_HTTP_1_0 = 'HTTP/1.0'
+# Closing a socket resets its connection: linger on, for no time.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class RoutingSource(Protocol):
@@ -59,11 +64,18 @@
 class TornadoReply:
     """A reply on one request of a tornado connection."""
 
-    __slots__ = ('_connection', '_is_closing', 'started')
+    __slots__ = ('_connection', '_is_closing', '_version', 'started')
 
-    def __init__(self, connection: HTTP1Connection, *, closes: bool) -> None:
-        """Start with nothing sent; ``closes`` adds `Connection: close`."""
+    def __init__(
+        self, connection: HTTP1Connection, version: str, *, closes: bool
+    ) -> None:
+        """Start with nothing sent.
+
+        ``version`` is the HTTP version of the request; ``closes`` adds
+        `Connection: close`.
+        """
         self._connection = connection
+        self._version = version
         self._is_closing = closes
         self.started = False
 
@@ -87,9 +99,19 @@
         self._connection.finish()
 
     def abort(self) -> None:
-        """Close the connection, so that the response looks incomplete."""
-        if self._connection.stream is not None:
-            self._connection.stream.close()
+        """Close the connection, so that the response looks incomplete.
+
+        HTTP/1.0 has no chunks: there an orderly end of the connection would
+        complete a response without a length, so the connection is reset.
+        """
+        stream = self._connection.stream
+        if stream is None or stream.closed():
+            return
+        if self._version == _HTTP_1_0:
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        stream.close()
 
 
 async def _wait_flushed(written) -> None:
@@ -151,7 +173,9 @@
     async def _run(self) -> None:
         dependencies = self._dependencies
         reply = TornadoReply(
-            self._connection, closes=dependencies.source.is_draining
+            self._connection,
+            self._line.version,
+            closes=dependencies.source.is_draining,
         )
         try:
             await self._run_filters(reply)
--- a/tests/relay/test_stream_ends.py
+++ b/tests/relay/test_stream_ends.py
@@ -5,6 +5,7 @@
 import eliot
 import pytest
 
+from fakes.platform_caller import CHAT_HEADERS, read_answer, request_bytes
 from fakes.platform_replica import (
     BREAK_CLOSE,
     BREAK_LAST_CHUNK,
@@ -133,3 +134,22 @@
             assert answer.body.endswith(b'4\n\n\n')
 
     run(scenario())
+
+
+@pytest.mark.parametrize('breaks', [0, 2])
+def test_caller_of_http_1_0_can_tell_a_broken_stream_from_a_whole_one(breaks):
+    """Its answer ends with the connection, so a broken one is reset."""
+
+    async def scenario():
+        replicas = engine_replicas(1, unframed=False, breaks=breaks)
+        async with RunningEntry(*replicas) as entry:
+            content = request_bytes('/chat/x', 'POST', b'p', CHAT_HEADERS)
+            reader, writer = await entry.send_bytes(
+                content.replace(b'HTTP/1.1', b'HTTP/1.0', 1)
+            )
+            answer = await read_answer(reader)
+            writer.close()
+            assert 'transfer-encoding' not in answer.headers
+            assert answer.is_whole is not bool(breaks)
+
+    run(scenario())
