Log the shared parts of an attempt and when the replica began to answer

Cause: the log could not tell whether replicas that crash one after the other had a part of a prompt in common, nor whether an attempt had begun there. Change: decision:attempt has shared_parts (the last eight, without the part that is the request's own) and began_ms; no decision changes. The two copies of the elapsed time of a log line are one, in snipebridge/clock.py.

--- a/snipebridge/clock.py
+++ b/snipebridge/clock.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 _NS_PER_MS = 1_000_000
+_MS_PER_S = 1000
 _LEASE_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
@@ -37,3 +38,14 @@
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
         return time.time_ns() // _NS_PER_MS
+
+
+def elapsed_ms(start_s: float, moment_s: float) -> float | None:
+    """Return milliseconds between two moments, none where one never came.
+
+    >>> elapsed_ms(1.0, 1.25), elapsed_ms(1.0, 0.0)
+    (250.0, None)
+    """
+    if not (start_s and moment_s):
+        return None
+    return round((moment_s - start_s) * _MS_PER_S, 1)
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -37,6 +37,7 @@
         '_pool',
         'choice',
         'head',
+        'head_s',
         'is_counted',
         'sent_s',
         'unfinished_bytes',
@@ -55,6 +56,8 @@
         self.choice = choice
         self.head: ResponseHead | None = None
         self.sent_s = 0.0
+        # When the head came: the replica has begun to answer.
+        self.head_s = 0.0
         # Received bytes of an event that has not ended.
         self.unfinished_bytes = 0
         self._pool = pool
@@ -110,6 +113,7 @@
         self._record_load(head)
         check_head(head, attempt_id)
         self.head = head
+        self.head_s = self._clock.monotonic_s()
         return head
 
     def late_after_s(self) -> float:
--- a/snipebridge/relay/filters.py
+++ b/snipebridge/relay/filters.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from snipebridge.clock import Clock
+from snipebridge.clock import Clock, elapsed_ms
 from snipebridge.controllers.lease import Lease
 from snipebridge.filters.chain import Proceed
 from snipebridge.logs import log_decision
@@ -87,12 +87,10 @@
             attempts=progress.attempts,
             escalations=progress.escalations,
             resumptions=progress.resumptions,
-            added_ms=_elapsed_ms(progress.first_dispatch_s, request.received_s),
-            first_byte_ms=_elapsed_ms(
-                progress.first_byte_s, request.received_s
-            ),
+            added_ms=elapsed_ms(request.received_s, progress.first_dispatch_s),
+            first_byte_ms=elapsed_ms(request.received_s, progress.first_byte_s),
             spent_ms=round(spent_s * 1000, 1),
-            left_ms=_elapsed_ms(exchange.deadline_s, now_s),
+            left_ms=elapsed_ms(now_s, exchange.deadline_s),
         )
 
 
@@ -210,7 +208,3 @@
         if self._clock.monotonic_s() >= exchange.deadline_s:
             raise TimedOutError('the deadline had passed on arrival')
         await proceed()
-
-
-def _elapsed_ms(moment_s: float, start_s: float) -> float | None:
-    return round((moment_s - start_s) * 1000, 1) if moment_s else None
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -62,6 +62,11 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ''
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have too: all but the last."""
+        return self.prompt_parts[:-1]
+
 
 @dataclass(slots=True)
 class Dispatch:
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -1,5 +1,6 @@
 """Records and logs the outcome of each attempt of a request."""
 
+from snipebridge.clock import elapsed_ms
 from snipebridge.logs import log_decision
 from snipebridge.policy.latency_baseline import EventInterval
 from snipebridge.relay.attempt_limits import AttemptLimits
@@ -10,6 +11,8 @@
 
 _MS_PER_S = 1000
 _EVENT_END = b'\n\n'
+# A prompt may have parts without number.
+_LOGGED_PARTS = 8
 
 
 class OutcomeRecorder:
@@ -171,5 +174,10 @@
             spent_ms=round(spent_s * _MS_PER_S, 1),
             running=replica.running,
             failure_share=round(replica.circuit_breaker.failure_share, 2),
+            began_ms=elapsed_ms(attempt.sent_s, attempt.head_s),
+            shared_parts=[
+                part.identity
+                for part in self._exchange.request.shared_parts[-_LOGGED_PARTS:]
+            ],
             resumed_after=self._exchange.progress.last_event_id,
         )
--- a/snipebridge/relay/replica_placement.py
+++ b/snipebridge/relay/replica_placement.py
@@ -198,7 +198,7 @@
     parts = exchange.request.prompt_parts
     if not parts:
         return PromptShape(exchange.request.prompt_tokens)
-    shared = parts[:-1]
+    shared = exchange.request.shared_parts
     key = f'{model}/{shared[-1].identity}' if shared else ''
     return PromptShape(
         tokens=sum(part.tokens for part in parts),
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import copy
 
+import eliot
 import pytest
 
 from fakes.platform_caller import DOCUMENT, read_answer, request_bytes
@@ -583,3 +584,21 @@
             assert len(runs) == 1 + is_gone
 
     run(scenario())
+
+
+def test_log_names_the_shared_parts_of_an_attempt_and_when_it_began():
+    """The last part belongs to the request alone and is left out."""
+    lines = []
+    eliot.add_destinations(lines.append)
+
+    async def scenario():
+        async with RunningEntry(engine_replica()) as entry:
+            await entry.chat()
+
+    run(scenario())
+    eliot.remove_destination(lines.append)
+    attempt = [
+        one for one in lines if one['message_type'] == 'decision:attempt'
+    ][-1]
+    assert attempt['shared_parts'] == ['5c']
+    assert 0 < attempt['began_ms'] <= attempt['spent_ms']
