Show requests of one kind that crash replica after replica

Three control processes, two entries and five stand-in replicas, which crash 60 ms after they begin to answer on one part of a prompt and return after 1.5 s.

--- a/bench/platform_system.py
+++ b/bench/platform_system.py
@@ -231,12 +231,12 @@
         return response.code, {}
 
 
-def run(folder, scenario):
+def run(folder, scenario, replicas=()):
     """Run a scenario on a started system."""
 
     async def session():
         async with asyncio.timeout(100):
-            async with PlatformSystem(folder / 'system') as system:
+            async with PlatformSystem(folder / 'system', replicas) as system:
                 await scenario(system)
 
     asyncio.run(session())
--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -50,6 +50,11 @@
     # Neither a length nor chunks: answers end with their connection.
     unframed: bool = False
     delay_s: float = 0.0
+    # Part of a prompt under which the replica crashes once it has begun to
+    # answer, and for how long it is away then.
+    crashes_on: str = ''
+    crash_delay_s: float = 0.06
+    restart_s: float = 1.5
     confidence: dict[str, int] = field(default_factory=dict)
 
 
@@ -70,6 +75,11 @@
         """The caller's id of the attempt."""
         return self.headers.get('x-attempt-id', '')
 
+    def shares_part(self, part: str) -> bool:
+        """Tell whether a part is in the prompt, and not its last one."""
+        entries = self.headers.get('x-prefix-hash', '').split(',')[:-1]
+        return part in [entry.partition(':')[0] for entry in entries]
+
 
 class PlatformReplica:
     """One replica with an address of its own."""
@@ -99,6 +109,9 @@
         self.runs: list[ReplicaRun] = []
         self.running = 0
         self.connections = 0
+        # When it crashed, by the clock of the event loop.
+        self.crashes: list[float] = []
+        self._crash: asyncio.Task | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -108,7 +121,12 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        """Crash: the listener and all connections end at once."""
+        """Stay away: the listener and all connections end at once."""
+        if self._crash is not None:
+            self._crash.cancel()
+        await self._end()
+
+    async def _end(self) -> None:
         self._server.close()
         for task in list(self._tasks):
             task.cancel()
@@ -214,6 +232,8 @@
         if not self.faults.unframed:
             headers.append(('Transfer-Encoding', 'chunked'))
         writer.write(_head(200, headers, None))
+        if run.shares_part(self.faults.crashes_on) and self._crash is None:
+            self._crash = asyncio.create_task(self._crash_and_return())
         start = int(run.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
             await self._event(run, writer, number, number - start)
@@ -239,6 +259,15 @@
         await writer.drain()
         await asyncio.sleep(0.005)
 
+    async def _crash_and_return(self) -> None:
+        await asyncio.sleep(self.faults.crash_delay_s)
+        self.crashes.append(asyncio.get_running_loop().time())
+        await self._end()
+        await asyncio.sleep(self.faults.restart_s)
+        self.name = f'{self.name.partition(".")[0]}.{len(self.crashes)}'
+        self._crash = None
+        await self.start(self.port)
+
     async def _break_off(self, writer) -> None:
         if self.faults.break_form == BREAK_LAST_CHUNK:
             writer.write(_LAST_CHUNK)
