Keep prompt parts that crash replicas from reaching more of them

Cause: nothing related a crash to what ran there. An entry took each for a fault of the replica and sent the request on, up to three times, and the next ones too; where it had dropped the answer as a poor draft it did not even see that the run had to do with the crash. Ruled out: crashes by load (25 ends of five replicas, at few requests each). Change: entries remember the runs of the last seconds, find out which replicas that broke off refuse connections, tell each other of these through the leader, and report what began there shortly before, dropped or not. The leader finds the part that is there again and again under different requests and that no entry knows a sound run with (policy/prompt_crashes.py, policy/prompt_runs.py: no clock, no network), and commits it to the log, so that neither a new leader nor a restart forgets it. Entries refuse the part as not run, with the rest of its quarantine as Retry-After, before each attempt. A sound run lifts it.

--- a/snipebridge/controllers/state_machine.py
+++ b/snipebridge/controllers/state_machine.py
@@ -8,6 +8,7 @@
 from snipebridge.controllers.fencing import Fencing
 from snipebridge.controllers.ledger import Ledger
 from snipebridge.controllers.members import EntryMembers
+from snipebridge.controllers.prompt_quarantines import PromptQuarantines
 from snipebridge.controllers.records import RequestRecords
 from snipebridge.controllers.results import invalid
 from snipebridge.controllers.rollouts import RolloutStates
@@ -41,6 +42,7 @@
         'ledger',
         'members',
         'now_ms',
+        'prompt_quarantines',
         'records',
         'rollouts',
         'routing',
@@ -61,6 +63,7 @@
         self.rollouts = RolloutStates()
         self.routing = RoutingState()
         self.software_rollouts = SoftwareRollouts()
+        self.prompt_quarantines = PromptQuarantines()
         self._handlers: dict[str, Callable[[Command], CommandResult]] = {
             'patch': self._apply_patch,
             'entry': lambda one: self.members.apply(one.entry),
@@ -74,6 +77,9 @@
             'software_rollout': lambda one: self.software_rollouts.apply(
                 one.software_rollout, self.now_ms
             ),
+            'prompt_quarantine': lambda one: self.prompt_quarantines.apply(
+                one.prompt_quarantine, self.now_ms
+            ),
         }
 
     def apply(self, index: int, command: Command) -> CommandResult:
@@ -100,6 +106,7 @@
                 'rollouts': self.rollouts.dump(),
                 'routings': self.routing.dump(),
                 'software_rollouts': self.software_rollouts.dump(),
+                'prompt_quarantines': self.prompt_quarantines.dump(),
             },
             option=orjson.OPT_SORT_KEYS,
         )
@@ -115,9 +122,10 @@
         self.records.load(state['records'])
         self.fencing.load(state['fencing'])
         self.rollouts.load(state['rollouts'])
-        # Snapshots from before 0.2 have neither key.
+        # Older snapshots lack these keys.
         self.routing.load(state.get('routings', [0, '']))
         self.software_rollouts.load(state.get('software_rollouts', []))
+        self.prompt_quarantines.load(state.get('prompt_quarantines', []))
 
     def _apply_patch(self, command: Command) -> CommandResult:
         previous = self.configuration.document
--- a/snipebridge/fleet/duties.py
+++ b/snipebridge/fleet/duties.py
@@ -1,16 +1,18 @@
 """What the leader does by itself for entries that route to services."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 from snipebridge.consensus.errors import ConsensusError
 from snipebridge.control.leader import Leadership
 from snipebridge.fleet.electorate import MemberOrder, MemberView, next_order
+from snipebridge.fleet.prompts import PromptDuty
 from snipebridge.fleet.software import SoftwareDuty
 from snipebridge.logs import log_decision, log_event
 from snipebridge.policy.software_rollouts import RolloutBounds
 from snipebridge.rpc.consensus_pb2 import Member
+from snipebridge.rpc.commands_pb2 import Command
 from snipebridge.settings.models import Settings
 from snipebridge.supervision import Supervisor, make_supervisor
 from snipebridge.upstreams.client import make_upstream_client
@@ -57,6 +59,7 @@
         '_leadership',
         '_live_s',
         '_order',
+        '_prompts',
         '_reader',
         '_settings',
         '_software',
@@ -79,6 +82,7 @@
         self._is_live = is_live
         bounds = RolloutBounds(settings.promises.canary_share)
         self._software = SoftwareDuty(leadership.clock, bounds)
+        self._prompts = PromptDuty()
         self._live_s: dict[str, float] = {}
         self._order: asyncio.Task[None] | None = None
 
@@ -125,6 +129,7 @@
     async def _do_round(self) -> None:
         run_once = self._supervisor.run_once
         await run_once('software_rollouts', self._move_rollouts)
+        await run_once('prompt_quarantines', self._quarantine_prompts)
         await run_once('voters', self._keep_voters)
 
     async def _move_rollouts(self) -> None:
@@ -134,11 +139,18 @@
             leadership.routed.evidence,
             leadership.routed.held.replicas,
         )
-        if commands:
-            try:
-                await leadership.replica.submit(commands)
-            except ConsensusError as error:
-                log_event('round_failed', code=error.code, error=error.message)
+        await self._submit(commands)
+
+    async def _quarantine_prompts(self) -> None:
+        await self._submit(self._prompts.commands(self._leadership))
+
+    async def _submit(self, commands: Sequence[Command]) -> None:
+        if not commands:
+            return
+        try:
+            await self._leadership.replica.submit(commands)
+        except ConsensusError as error:
+            log_event('round_failed', code=error.code, error=error.message)
 
     def _keep_voters(self) -> None:
         if not self._settings.seeds.addresses:
--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -2,6 +2,7 @@
 
 from snipebridge.control.leader import Leadership
 from snipebridge.controllers.software_rollouts import SoftwareRolloutState
+from snipebridge.fleet.prompts import add_prompt_state, take_prompt_report
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
@@ -22,6 +23,8 @@
     machine = leadership.machine
     routed = leadership.routed
     routed.take_report(request, process, now_s)
+    take_prompt_report(routed.crashes, request, now_s)
+    add_prompt_state(leadership, reply, now_s)
     reply.routing_version = machine.routing.version
     if request.routing_version < machine.routing.version:
         _add_routing(leadership, request, reply)
--- a/snipebridge/fleet/state.py
+++ b/snipebridge/fleet/state.py
@@ -17,6 +17,7 @@
 )
 from snipebridge.fleet.packing import PackedDocument
 from snipebridge.fleet.paces import FleetPaces
+from snipebridge.policy.prompt_crashes import PromptCrashes
 from snipebridge.policy.prefill_speed import ModelPrefillSpeed
 from snipebridge.rpc.control_pb2 import (
     HeartbeatRequest,
@@ -62,6 +63,7 @@
     held: HeldList = field(default_factory=HeldList)
     loads: FleetLoads = field(default_factory=FleetLoads)
     paces: FleetPaces = field(default_factory=FleetPaces)
+    crashes: PromptCrashes = field(default_factory=PromptCrashes)
     packed: PackedDocument = field(default_factory=PackedDocument)
     _asked: dict[str, _Asked] = field(default_factory=dict)
     _draws: deque[_Draws] = field(default_factory=deque)
--- /dev/null
+++ b/snipebridge/policy/prompt_runs.py
@@ -0,0 +1,205 @@
+"""Recent runs of an entry, to tell which prompts were at a replica's crash.
+
+Answers requests with one part in their prompts that crash each replica which
+begins to answer them. Such a crash comes soon after the first token, also where
+the entry dropped the answer meanwhile, and ends every other run there. So a run
+that began shortly before a crash is a suspect, one that broke off before it
+began is a weak one, and a part is sound once a run with it has outlived that
+time.
+
+>>> runs = PromptRuns()
+>>> runs.record_began('r1', PromptRun('a1', 's', ('p',)), now_s=5.0)
+>>> runs.record_lost('r1', lost_s=5.1, now_s=5.2)
+True
+>>> [(one.replica, one.run.request, one.has_begun) for one in runs.suspects(6)]
+[('r1', 'a1', True)]
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+# How long after its first token a prompt may crash a replica.
+SUSPECT_S = 1.0
+# A part whose run lasted this long is sound, unless its replica is lost: the
+# loss may become known by way of the leader only.
+SURVIVAL_S = 2.0
+# A part that was sound is no suspect for this long.
+SOUND_VALID_S = 60.0
+# Suspects are reported for this long, so that a new leader gets them too.
+REPORT_S = 10.0
+# Two losses of one replica closer together are the same.
+SAME_LOSS_S = 1.5
+# A run that broke off this close to a loss was ended by it.
+_BREAK_S = 0.5
+_MAX_RUNS = 4096
+_MAX_SOUND = 8192
+_MAX_SUSPECTS = 64
+
+
+@dataclass(slots=True, frozen=True)
+class SharedPart:
+    """A part of prompts to a service that several requests may have."""
+
+    service: str
+    identity: str
+
+
+@dataclass(slots=True, frozen=True)
+class PromptRun:
+    """One request at a replica, with its shared parts in order."""
+
+    request: str
+    service: str
+    identities: tuple[str, ...]
+
+    @property
+    def parts(self) -> tuple[SharedPart, ...]:
+        """The shared parts of the prompt."""
+        return tuple(SharedPart(self.service, one) for one in self.identities)
+
+
+@dataclass(slots=True, frozen=True)
+class CrashSuspect:
+    """A run that a replica may have crashed under."""
+
+    run: PromptRun
+    replica: str
+    lost_s: float
+    # Whether the replica had begun to answer.
+    has_begun: bool
+
+
+@dataclass(slots=True)
+class _RecentRun:
+    run: PromptRun
+    replica: str
+    began_s: float
+    was_cut: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class _Unanswered:
+    run: PromptRun
+    replica: str
+    broke_s: float
+
+
+@dataclass(slots=True)
+class PromptRuns:
+    """The runs of the last seconds, lost replicas, and sound parts."""
+
+    _runs: deque[_RecentRun] = field(
+        default_factory=lambda: deque(maxlen=_MAX_RUNS)
+    )
+    _unanswered: deque[_Unanswered] = field(
+        default_factory=lambda: deque(maxlen=_MAX_RUNS)
+    )
+    _lost_s: dict[str, float] = field(default_factory=dict)
+    _suspects: deque[CrashSuspect] = field(
+        default_factory=lambda: deque(maxlen=_MAX_SUSPECTS)
+    )
+    _sound_s: dict[SharedPart, float] = field(default_factory=dict)
+
+    def record_began(self, replica: str, run: PromptRun, now_s: float) -> None:
+        """Add a run whose first token has come."""
+        if run.identities:
+            self._runs.append(_RecentRun(run, replica, now_s))
+
+    def record_cut(self, replica: str, request: str) -> None:
+        """Note that a run ended before its answer was complete."""
+        for recent in reversed(self._runs):
+            if (recent.replica, recent.run.request) == (replica, request):
+                recent.was_cut = True
+                return
+
+    def record_unanswered(
+        self, replica: str, run: PromptRun, now_s: float
+    ) -> None:
+        """Add a run whose connection broke off before the first token."""
+        if run.identities:
+            self._unanswered.append(_Unanswered(run, replica, now_s))
+
+    def record_lost(self, replica: str, lost_s: float, now_s: float) -> bool:
+        """Note that a replica crashed; tell whether that is new here."""
+        self._settle(now_s)
+        known_s = self._lost_s.get(replica)
+        if known_s is not None and abs(lost_s - known_s) < SAME_LOSS_S:
+            return False
+        self._lost_s[replica] = lost_s
+        self._suspects.extend(self._suspects_of(replica, lost_s))
+        return True
+
+    def suspects(self, now_s: float) -> list[CrashSuspect]:
+        """Return the suspects of the last seconds, without sound parts."""
+        while self._suspects and now_s - self._suspects[0].lost_s > REPORT_S:
+            self._suspects.popleft()
+        return [self._without_sound(one, now_s) for one in self._suspects]
+
+    def losses(self, now_s: float) -> dict[str, float]:
+        """Return when each replica crashed that was lost lately."""
+        self._lost_s = {
+            replica: lost_s
+            for replica, lost_s in self._lost_s.items()
+            if now_s - lost_s <= REPORT_S
+        }
+        return self._lost_s
+
+    def sound_among(
+        self, parts: Iterable[SharedPart], now_s: float
+    ) -> list[SharedPart]:
+        """Return those of some parts that have lately been sound here."""
+        self._settle(now_s)
+        return [one for one in parts if self._is_sound(one, now_s)]
+
+    def is_sound_since(self, part: SharedPart, moment_s: float) -> bool:
+        """Tell whether a part was found sound here after a moment."""
+        return self._sound_s.get(part, float('-inf')) > moment_s
+
+    def _suspects_of(self, replica: str, lost_s: float) -> list[CrashSuspect]:
+        begun = [
+            CrashSuspect(one.run, replica, lost_s, has_begun=True)
+            for one in self._runs
+            if one.replica == replica and abs(lost_s - one.began_s) <= SUSPECT_S
+        ]
+        waiting = [
+            CrashSuspect(one.run, replica, lost_s, has_begun=False)
+            for one in self._unanswered
+            if one.replica == replica and abs(lost_s - one.broke_s) <= _BREAK_S
+        ]
+        return begun + waiting
+
+    def _without_sound(self, suspect: CrashSuspect, now_s: float):
+        identities = tuple(
+            part.identity
+            for part in suspect.run.parts
+            if not self._is_sound(part, now_s)
+        )
+        run = PromptRun(suspect.run.request, suspect.run.service, identities)
+        return CrashSuspect(
+            run, suspect.replica, suspect.lost_s, suspect.has_begun
+        )
+
+    def _is_sound(self, part: SharedPart, now_s: float) -> bool:
+        sound_s = self._sound_s.get(part)
+        return sound_s is not None and now_s - sound_s <= SOUND_VALID_S
+
+    def _settle(self, now_s: float) -> None:
+        """Take the parts of runs that have outlived the danger for sound."""
+        while self._runs and now_s - self._runs[0].began_s >= SURVIVAL_S:
+            recent = self._runs.popleft()
+            if not (recent.was_cut or self._was_lost_after(recent)):
+                for part in recent.run.parts:
+                    self._sound_s.pop(part, None)
+                    self._sound_s[part] = now_s
+        while len(self._sound_s) > _MAX_SOUND:
+            self._sound_s.pop(next(iter(self._sound_s)))
+        while (
+            self._unanswered
+            and now_s - self._unanswered[0].broke_s >= SURVIVAL_S
+        ):
+            self._unanswered.popleft()
+
+    def _was_lost_after(self, recent: _RecentRun) -> bool:
+        lost_s = self._lost_s.get(recent.replica, float('-inf'))
+        return recent.began_s <= lost_s <= recent.began_s + SURVIVAL_S
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -87,6 +87,11 @@
         """What delimits the body, unknown before the head has arrived."""
         return self._connection.framing if self.head else Framing.UNKNOWN
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole response has arrived."""
+        return self._connection is not None and self._connection.is_complete
+
     async def connect(self, max_idle_s: float) -> None:
         """Acquire a connection; on `ConnectError` nothing was sent."""
         replica = self.choice.replica
--- /dev/null
+++ b/snipebridge/relay/crash_watch.py
@@ -0,0 +1,98 @@
+"""Notices replicas that crash, and tells the prompt guard what ran there."""
+
+import asyncio
+from collections.abc import Callable
+
+from snipebridge.clock import Clock
+from snipebridge.logs import log_decision
+from snipebridge.relay.attempts import Attempt
+from snipebridge.relay.exchange import RelayExchange
+from snipebridge.relay.prompt_guard import PromptGuard, prompt_run
+from snipebridge.relay.replicas import Replica
+from snipebridge.upstreams.connections import ConnectionPool
+from snipebridge.upstreams.errors import (
+    InvalidResponseError,
+    RefusedError,
+    UpstreamError,
+)
+
+
+class CrashWatch:
+    """Records the runs of this entry and checks replicas that broke off.
+
+    A replica that broke off an answer and refuses connections has crashed. One
+    that still takes them, or that can't be reached, has not.
+    """
+
+    __slots__ = ('_checks', '_clock', '_guard', '_pool', '_report_now')
+
+    def __init__(
+        self,
+        guard: PromptGuard,
+        pool: ConnectionPool,
+        clock: Clock,
+        report_now: Callable[[], None],
+    ) -> None:
+        """Use the guard of the entry; ``report_now`` sends a heartbeat."""
+        self._guard = guard
+        self._pool = pool
+        self._clock = clock
+        self._report_now = report_now
+        # By replica, so that many broken runs cause one connection.
+        self._checks: dict[str, asyncio.Task[None]] = {}
+
+    def record_began(self, attempt: Attempt, exchange: RelayExchange) -> None:
+        """Note that a replica has begun to answer."""
+        self._guard.runs.record_began(
+            attempt.choice.replica.id,
+            prompt_run(exchange.progress.service, exchange.request),
+            self._clock.monotonic_s(),
+        )
+
+    def record_closed(self, attempt: Attempt, exchange: RelayExchange) -> None:
+        """Note that an attempt is over, its answer complete or not."""
+        if attempt.head is not None and not attempt.is_complete:
+            self._guard.runs.record_cut(
+                attempt.choice.replica.id, exchange.request.attempt_id
+            )
+
+    def record_fault(
+        self, attempt: Attempt, exchange: RelayExchange, error: UpstreamError
+    ) -> None:
+        """Find out whether a failed attempt means a crash."""
+        replica = attempt.choice.replica
+        now_s = self._clock.monotonic_s()
+        if isinstance(error, RefusedError):
+            self._record_lost(replica, now_s)
+        elif isinstance(error, InvalidResponseError):
+            if attempt.head is None:
+                self._guard.runs.record_unanswered(
+                    replica.id,
+                    prompt_run(exchange.progress.service, exchange.request),
+                    now_s,
+                )
+            self._start_check(replica, now_s)
+
+    def _start_check(self, replica: Replica, broke_s: float) -> None:
+        if replica.id in self._checks:
+            return
+        task = asyncio.create_task(self._check(replica, broke_s))
+        self._checks[replica.id] = task
+        task.add_done_callback(lambda _: self._checks.pop(replica.id, None))
+
+    async def _check(self, replica: Replica, broke_s: float) -> None:
+        if await self._pool.is_refused(replica.address):
+            self._record_lost(replica, broke_s)
+
+    def _record_lost(self, replica: Replica, lost_s: float) -> None:
+        now_s = self._clock.monotonic_s()
+        if not self._guard.runs.record_lost(replica.id, lost_s, now_s):
+            return
+        log_decision(
+            'replica_lost',
+            replica=replica.id,
+            service=replica.service,
+            lost_ago_ms=round((now_s - lost_s) * 1000),
+            running=replica.running,
+        )
+        self._report_now()
--- a/snipebridge/relay/dependencies.py
+++ b/snipebridge/relay/dependencies.py
@@ -11,8 +11,10 @@
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.policy.tiers import TierPolicy
 from snipebridge.relay.buffers import BufferBudget
+from snipebridge.relay.crash_watch import CrashWatch
 from snipebridge.relay.messages import HeaderCodec
 from snipebridge.relay.metrics import RelayMetrics
+from snipebridge.relay.prompt_guard import PromptGuard
 from snipebridge.relay.replica_placement import ReplicaPlacer
 from snipebridge.relay.software_selection import SoftwareSelector
 from snipebridge.upstreams.connections import ConnectionPool
@@ -27,6 +29,8 @@
     codec: HeaderCodec
     software: SoftwareSelector
     prefill_speeds: PrefillSpeedEstimator
+    prompts: PromptGuard
+    crashes: CrashWatch
     retries: RetryWindow
     metrics: RelayMetrics
     clock: Clock
--- a/snipebridge/relay/filter_chain.py
+++ b/snipebridge/relay/filter_chain.py
@@ -7,6 +7,7 @@
 from snipebridge.controllers.control_link import ControlLink
 from snipebridge.filters.chain import Filter
 from snipebridge.policy.retry_window import RetryWindow
+from snipebridge.relay.crash_watch import CrashWatch
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.filters import (
     AccountFilter,
@@ -45,6 +46,8 @@
         codec=HeaderCodec(settings.headers),
         software=state.software,
         prefill_speeds=state.prefill_speeds,
+        prompts=state.prompts,
+        crashes=CrashWatch(state.prompts, pool, clock, link.send_now),
         retries=RetryWindow(
             promises.retry_ratio,
             promises.retry_slack,
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -28,7 +28,7 @@
 from snipebridge.relay.model_selection import ModelSelector
 from snipebridge.relay.outcomes import OutcomeRecorder
 from snipebridge.relay.replica_placement import Choice, choose_service
-from snipebridge.routing.tables import RouteKind
+from snipebridge.routing.tables import Route, RouteKind
 from snipebridge.upstreams.connections import IDLE_LIMIT_S
 from snipebridge.upstreams.errors import (
     InvalidResponseError,
@@ -105,6 +105,7 @@
                 self._record_fault(attempt, error)
             finally:
                 attempt.close()
+                self._outcomes.record_closed(attempt)
 
     async def _next_attempt(self) -> Attempt:
         """Return an attempt with its response head, or raise the last error."""
@@ -122,7 +123,7 @@
     async def _open(self, attempt: Attempt) -> bool:
         """Send the request; tell whether the replica ran it and responded."""
         try:
-            await attempt.connect(self._max_idle_s())
+            await attempt.connect(_max_idle_s(self._route))
             await self._send(attempt)
         except UpstreamError as error:
             self._record_fault(attempt, error)
@@ -207,6 +208,7 @@
 
     def _select(self) -> Choice:
         """Return the next replica and model, or raise the last error."""
+        self._check_quarantine()
         reason = self._limits.denial_reason()
         if reason:
             self._fail(reason)
@@ -220,12 +222,25 @@
             self._fail('no eligible replica remains')
         return choice
 
-    def _fail(self, reason: str) -> None:
+    def _check_quarantine(self) -> None:
+        now_s = self._dependencies.clock.monotonic_s()
+        held = self._dependencies.prompts.find_quarantine(
+            self._progress.service, self._request, now_s
+        )
+        if held is not None:
+            self._fail(
+                f'replicas crash on the prompt part {held.part.identity}',
+                held.until_s - now_s,
+            )
+
+    def _fail(self, reason: str, retry_after_s: float = 0.0) -> None:
         message = f'{reason}; {self._outcomes.last_error}'
         if self._exchange.reply.started or self._progress.ran is not Ran.NO:
             raise UpstreamFailedError(message)
         raise NotRunError(
-            message, self._dependencies.rng.uniform(*_RETRY_AFTER_RANGE_S)
+            message,
+            retry_after_s
+            or self._dependencies.rng.uniform(*_RETRY_AFTER_RANGE_S),
         )
 
     async def _relay(self, attempt: Attempt) -> bool:
@@ -365,7 +380,6 @@
             return None
         return min(_LOWEST_PRIORITY, max(0, self._exchange.priority))
 
-    def _max_idle_s(self) -> float:
-        return (
-            IDLE_LIMIT_S if self._route.allows_retry else _NON_RETRYABLE_IDLE_S
-        )
+
+def _max_idle_s(route: Route) -> float:
+    return IDLE_LIMIT_S if route.allows_retry else _NON_RETRYABLE_IDLE_S
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -62,6 +62,7 @@
             self._dependencies.pool.drop(replica.id)
         else:
             replica.circuit_breaker.record_failure(now_s)
+        self._dependencies.crashes.record_fault(attempt, self._exchange, error)
         self._event_interval = EventInterval()
         self._exchange.progress.resumptions += self._exchange.reply.started
         self._log(attempt, error.code, error.message)
@@ -86,11 +87,16 @@
 
     def record_head(self, attempt: Attempt) -> None:
         """Count the start of a stream, which says most about its version."""
+        self._dependencies.crashes.record_began(attempt, self._exchange)
         if attempt.head.is_stream and not is_server_failure(
             attempt.head.status
         ):
             self._count_for_version(attempt, failed=False, slow=False)
 
+    def record_closed(self, attempt: Attempt) -> None:
+        """Note the end of an attempt whose connection has been released."""
+        self._dependencies.crashes.record_closed(attempt, self._exchange)
+
     def record_late_first_byte(self, attempt: Attempt) -> None:
         """Count a late first byte while it is still awaited."""
         attempt.was_late = True
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -64,6 +64,7 @@
         self._link: ControlLink = make_control_link(
             settings, clock, self._reporter
         )
+        self._reporter.report_now = self._link.send_now
         self._server_dependencies = ServerDependencies(
             source=self,
             filters=make_filters(
--- /dev/null
+++ b/snipebridge/relay/prompt_guard.py
@@ -0,0 +1,115 @@
+"""What an entry knows of prompt parts that crash replicas.
+
+The leader finds the parts from what all entries report; the entry keeps them
+from replicas, also while it is cut off from control.
+"""
+
+from dataclasses import dataclass, field
+
+from snipebridge.logs import log_decision
+from snipebridge.policy.prompt_runs import PromptRun, PromptRuns, SharedPart
+from snipebridge.relay.messages import RelayRequest
+from snipebridge.rpc.control_pb2 import (
+    HeartbeatReply,
+    HeartbeatRequest,
+    LostReplica,
+    PromptPartName,
+    SuspectedRun,
+)
+
+
+@dataclass(slots=True)
+class HeldQuarantine:
+    """A part that no replica may get."""
+
+    part: SharedPart
+    since_s: float
+    until_s: float
+
+
+@dataclass(slots=True)
+class PromptGuard:
+    """Runs and losses seen here, and the quarantines of the leader."""
+
+    runs: PromptRuns = field(default_factory=PromptRuns)
+    _quarantines: dict[SharedPart, HeldQuarantine] = field(default_factory=dict)
+    _suspected: list[SharedPart] = field(default_factory=list)
+
+    def find_quarantine(
+        self, service: str, request: RelayRequest, now_s: float
+    ) -> HeldQuarantine | None:
+        """Return the quarantine that a request falls under."""
+        if not self._quarantines:
+            return None
+        for part in prompt_run(service, request).parts:
+            held = self._quarantines.get(part)
+            if held is not None and held.until_s > now_s:
+                return held
+        return None
+
+    def fill_request(self, request: HeartbeatRequest, now_s: float) -> None:
+        """Add lost replicas, the runs they may have crashed under, and news."""
+        request.lost_replicas.extend(
+            LostReplica(replica=replica, age_s=now_s - lost_s)
+            for replica, lost_s in self.runs.losses(now_s).items()
+        )
+        request.suspected_runs.extend(
+            SuspectedRun(
+                replica=one.replica,
+                age_s=now_s - one.lost_s,
+                request=one.run.request,
+                service=one.run.service,
+                parts=one.run.identities,
+                has_begun=one.has_begun,
+            )
+            for one in self.runs.suspects(now_s)
+        )
+        request.sound_parts.extend(
+            PromptPartName(service=one.service, part=one.identity)
+            for one in self._sound_parts(now_s)
+        )
+
+    def apply_reply(self, reply: HeartbeatReply, now_s: float) -> bool:
+        """Apply the leader's news; tell whether it waits for an answer."""
+        has_news = False
+        for lost in reply.lost_replicas:
+            is_new = self.runs.record_lost(
+                lost.replica, now_s - lost.age_s, now_s
+            )
+            has_news = has_news or is_new
+        suspected = [
+            SharedPart(one.service, one.part) for one in reply.suspected_parts
+        ]
+        has_news = has_news or suspected != self._suspected
+        self._suspected = suspected
+        self._apply_quarantines(reply, now_s)
+        return has_news
+
+    def _apply_quarantines(self, reply: HeartbeatReply, now_s: float) -> None:
+        held = {}
+        for one in reply.quarantined_parts:
+            part = SharedPart(one.service, one.part)
+            known = self._quarantines.get(part)
+            since_s = known.since_s if known else now_s
+            held[part] = HeldQuarantine(part, since_s, now_s + one.valid_s)
+        if held.keys() != self._quarantines.keys():
+            log_decision(
+                'quarantines_in_force',
+                parts=[f'{one.service}/{one.identity}' for one in held],
+            )
+        self._quarantines = held
+
+    def _sound_parts(self, now_s: float) -> list[SharedPart]:
+        sound = self.runs.sound_among(self._suspected, now_s)
+        sound.extend(
+            one.part
+            for one in self._quarantines.values()
+            if self.runs.is_sound_since(one.part, one.since_s)
+        )
+        return sound
+
+
+def prompt_run(service: str, request: RelayRequest) -> PromptRun:
+    """Return a request as a run of its shared parts."""
+    identities = tuple(part.identity for part in request.shared_parts)
+    return PromptRun(request.attempt_id, service, identities)
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -26,11 +26,13 @@
         '_clock',
         '_entries_digest',
         '_prefill_speeds',
+        '_prompts',
         '_sent_at_s',
         '_software',
         'entry_count',
         'on_replica_removed',
         'on_table_change',
+        'report_now',
         'table',
     )
 
@@ -39,6 +41,7 @@
         self._replicas = state.replicas
         self._software = state.software
         self._prefill_speeds = state.prefill_speeds
+        self._prompts = state.prompts
         self._clock = clock
         self._entries_digest = 0
         self._sent_at_s = 0.0
@@ -46,6 +49,8 @@
         self.table = RoutingTable()
         self.on_table_change: TableListener = _do_nothing
         self.on_replica_removed: Callable[[str], None] = _do_nothing
+        # Sends the next heartbeat at once.
+        self.report_now: Callable[[], None] = lambda: None
 
     def fill_request(self, request: HeartbeatRequest) -> None:
         """Add the versions in force, request outcomes and loads."""
@@ -61,6 +66,7 @@
             ModelPace(model=one.model, ms_per_token=one.ms_per_token)
             for one in self._prefill_speeds.learned_speeds()
         )
+        self._prompts.fill_request(request, self._sent_at_s)
 
     def apply_reply(self, reply: HeartbeatReply) -> bool:
         """Apply routes, replicas and roll-outs; tell whether all are current.
@@ -83,6 +89,8 @@
         self._software.apply_pinned_draws(
             reply.pinned_draws, self._clock.monotonic_s()
         )
+        if self._prompts.apply_reply(reply, self._clock.monotonic_s()):
+            self.report_now()
         holds_routes = self.table.version >= reply.routing_version
         return holds_routes and (
             not self.table.version or self._replicas.has_list
--- a/snipebridge/relay/state.py
+++ b/snipebridge/relay/state.py
@@ -1,8 +1,9 @@
-"""State of an entry: replicas, software versions and prefill speeds."""
+"""State of an entry: replicas, versions, prefill speeds and prompts."""
 
 from dataclasses import dataclass, field
 
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
+from snipebridge.relay.prompt_guard import PromptGuard
 from snipebridge.relay.replicas import ReplicaRegistry
 from snipebridge.relay.software_selection import SoftwareSelector
 
@@ -16,3 +17,4 @@
     prefill_speeds: PrefillSpeedEstimator = field(
         default_factory=PrefillSpeedEstimator
     )
+    prompts: PromptGuard = field(default_factory=PromptGuard)
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -15,6 +15,7 @@
 from snipebridge.upstreams.errors import (
     ConnectError,
     InvalidResponseError,
+    RefusedError,
     ResponseTimeoutError,
 )
 
@@ -161,6 +162,11 @@
 
     # Called by the users of the connection.
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole response has arrived."""
+        return self._is_complete
+
     @property
     def headers(self) -> Headers:
         """The headers of the response."""
@@ -306,6 +312,17 @@
         connection.abort()
         return True
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether nothing listens at an address now."""
+        try:
+            connection = await self._open(address, REACHABLE_TIMEOUT_S)
+        except RefusedError:
+            return True
+        except ConnectError:
+            return False
+        connection.abort()
+        return False
+
     def release(self, replica: str, connection: ReplicaConnection) -> None:
         """Keep a connection for the next request, or close it."""
         if not connection.is_reusable():
@@ -349,6 +366,8 @@
                 _, connection = await loop.create_connection(
                     lambda: ReplicaConnection(address), host, int(port)
                 )
+        except ConnectionRefusedError as error:
+            raise RefusedError(f'{address}: {error}') from error
         except (OSError, TimeoutError) as error:
             raise ConnectError(f'{address}: {error}') from error
         return connection
--- a/snipebridge/upstreams/errors.py
+++ b/snipebridge/upstreams/errors.py
@@ -20,6 +20,10 @@
     ran = Ran.NO
 
 
+class RefusedError(ConnectError):
+    """The connection was refused: nothing listens at the address."""
+
+
 class ResponseTimeoutError(UpstreamError):
     """The upstream sent nothing within the time limit."""
 
--- /dev/null
+++ b/tests/policy/test_prompt_crashes.py
@@ -0,0 +1,245 @@
+"""Replicas that crash, by themselves or under one part of a prompt."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from snipebridge.policy.prompt_crashes import (
+    ANSWER_S,
+    PromptCrashes,
+)
+from snipebridge.policy.prompt_runs import (
+    SURVIVAL_S,
+    CrashSuspect,
+    PromptRun,
+    PromptRuns,
+    SharedPart,
+)
+
+STEP_S = 0.05
+# An entry reports each 0.4 s, the leader decides each 0.2 s.
+HEARTBEAT_STEPS = 8
+ROUND_STEPS = 4
+RUN_S = 3.0
+# The users' bound, from the fifth crash on.
+CONNECTIVITY_S = 3.0
+BAD = SharedPart('s', 'bad')
+
+
+@dataclass
+class Running:
+    """A run at a replica."""
+
+    entry: int
+    run: PromptRun
+    began_s: float
+    is_waiting: bool = True
+
+
+@dataclass
+class Fleet:
+    """Entries, replicas and one leader, driven step by step."""
+
+    entries: int
+    replicas: int
+    seed: int
+    requests_per_s: float = 40.0
+    now_s: float = 0.0
+    found: list = field(default_factory=list)
+    found_s: float = 0.0
+    crashes_s: list = field(default_factory=list)
+
+    def __post_init__(self):
+        """Start idle."""
+        self.rng = random.Random(self.seed)
+        self.leader = PromptCrashes()
+        self.runs = [PromptRuns() for _ in range(self.entries)]
+        self.running = [[] for _ in range(self.replicas)]
+        self.away_until_s = [0.0 for _ in self.running]
+        self.started = [0 for _ in self.running]
+        self.number = 0
+
+    def play(self, until_s, bad_per_s=0.0, crashes_per_s=0.0):
+        """Send requests and end replicas until a moment."""
+        while self.now_s < until_s:
+            self.now_s += STEP_S
+            for _ in range(self._count(self.requests_per_s)):
+                subject = int(self.rng.paretovariate(0.8))
+                self._begin('common', f'subject{subject}')
+            for _ in range(self._count(bad_per_s)):
+                if not self.found:
+                    self._begin('common', 'bad')
+            for _ in range(self._count(crashes_per_s)):
+                self._end(self.rng.randrange(self.replicas))
+            for replica in range(self.replicas):
+                self._serve(replica)
+            self._exchange()
+
+    def name(self, replica):
+        """Return the id of a replica, another one after each start."""
+        return f'r{replica}.{self.started[replica]}'
+
+    def _count(self, per_s):
+        return int(per_s * STEP_S + self.rng.random())
+
+    def _begin(self, *identities):
+        up = [
+            one
+            for one in range(self.replicas)
+            if self.away_until_s[one] <= self.now_s
+        ]
+        if not up:
+            return
+        self.number += 1
+        run = PromptRun(f'a{self.number}', 's', identities)
+        entry = self.rng.randrange(self.entries)
+        if self.rng.random() < 0.5:
+            draft = self.rng.choice(up)
+            self._run(entry, draft, run, self.now_s)
+            self.runs[entry].record_cut(self.name(draft), run.request)
+        wait_s = self.rng.choice((0.0, 0.0, 0.5))
+        self._run(entry, self.rng.choice(up), run, self.now_s + wait_s)
+
+    def _run(self, entry, replica, run, begins_s):
+        one = Running(entry, run, begins_s)
+        self.running[replica].append(one)
+        if begins_s <= self.now_s:
+            self._start(replica, one)
+
+    def _start(self, replica, one):
+        one.is_waiting = False
+        self.runs[one.entry].record_began(
+            self.name(replica), one.run, self.now_s
+        )
+
+    def _serve(self, replica):
+        running = self.running[replica]
+        for one in running:
+            if one.is_waiting and one.began_s <= self.now_s:
+                self._start(replica, one)
+        if any(
+            'bad' in one.run.identities and self.now_s - one.began_s >= 0.1
+            for one in running
+        ):
+            self._end(replica)
+            return
+        self.running[replica] = [
+            one for one in running if self.now_s - one.began_s < RUN_S
+        ]
+
+    def _end(self, replica):
+        if self.away_until_s[replica] > self.now_s:
+            return
+        self.crashes_s.append(self.now_s)
+        name = self.name(replica)
+        for one in self.running[replica]:
+            runs = self.runs[one.entry]
+            if one.is_waiting:
+                runs.record_unanswered(name, one.run, self.now_s)
+            else:
+                runs.record_cut(name, one.run.request)
+        self.runs[self.rng.randrange(self.entries)].record_lost(
+            name, self.now_s, self.now_s
+        )
+        self.running[replica] = []
+        self.away_until_s[replica] = self.now_s + 2.0
+        self.started[replica] += 1
+
+    def _exchange(self):
+        leader = self.leader
+        step = round(self.now_s / STEP_S)
+        for number, runs in enumerate(self.runs):
+            if (number + step) % HEARTBEAT_STEPS:
+                continue
+            for replica, lost_s in runs.losses(self.now_s).items():
+                leader.take_loss(replica, lost_s)
+            for suspect in runs.suspects(self.now_s):
+                leader.take(suspect)
+            for replica, lost_s in leader.recent_losses(self.now_s):
+                runs.record_lost(replica, lost_s, self.now_s)
+            asked = leader.suspected()
+            leader.take_sound(runs.sound_among(asked, self.now_s), self.now_s)
+        if step % ROUND_STEPS == 0:
+            held = [one.part for one in self.found]
+            self.found.extend(leader.find(held, (), self.now_s))
+            self.found_s = self.found_s or (self.now_s if self.found else 0.0)
+
+
+@pytest.mark.parametrize(
+    ('entries', 'replicas'), [(9, 5), (191, 39), (340, 90)]
+)
+@pytest.mark.parametrize('seed', range(3))
+def test_only_the_part_that_crashes_replicas_is_found(entries, replicas, seed):
+    """Each entry sees few of its requests, and drops half of the answers."""
+    fleet = Fleet(entries, replicas, seed, requests_per_s=replicas * 4.0)
+    fleet.play(6.0)
+    fleet.play(12.0, bad_per_s=4.0)
+    assert [one.part for one in fleet.found] == [BAD]
+    assert fleet.found_s <= fleet.crashes_s[:5][-1] + CONNECTIVITY_S
+
+
+@pytest.mark.parametrize(('entries', 'replicas'), [(9, 5), (191, 39)])
+@pytest.mark.parametrize('seed', range(5))
+def test_replicas_that_crash_by_themselves_accuse_no_part(
+    entries, replicas, seed
+):
+    """Parts that are asked for rarely are among the bystanders."""
+    fleet = Fleet(entries, replicas, seed, requests_per_s=replicas * 4.0)
+    fleet.play(5.0)
+    fleet.play(35.0, crashes_per_s=replicas / 15)
+    assert len(fleet.crashes_s) > replicas
+    assert not fleet.found
+
+
+def suspect(number, *identities, begun=True):
+    """Return a run that a replica of its own was lost under."""
+    run = PromptRun(f'a{number}', 's', identities)
+    return CrashSuspect(run, f'r{number}', 0.0, begun)
+
+
+def found_after_answers(crashes, known=()):
+    """Return the parts that are found once the entries have answered."""
+    crashes.find((), known, 0.0)
+    return [one.part for one in crashes.find((), known, ANSWER_S)]
+
+
+def test_one_request_alone_accuses_no_part():
+    """It may be its own part, which no other request has."""
+    crashes = PromptCrashes()
+    for number in range(4):
+        run = PromptRun('a1', 's', ('bad',))
+        crashes.take(CrashSuspect(run, f'r{number}', 0.0, True))
+    assert not found_after_answers(crashes)
+
+
+def test_entries_are_asked_before_a_part_is_found():
+    """One of them may know a sound run with it."""
+    crashes = PromptCrashes()
+    for number in range(3):
+        crashes.take(suspect(number, 'bad'))
+    assert not crashes.find((), (), 0.1)
+    assert crashes.suspected() == [BAD]
+    crashes.take_sound([BAD], 0.2)
+    assert not crashes.find((), (), 0.1 + ANSWER_S)
+
+
+def test_part_found_before_is_found_at_its_first_crash():
+    """Its quarantine ended by time."""
+    crashes = PromptCrashes()
+    crashes.take(suspect(1, 'bad'))
+    assert not found_after_answers(crashes)
+    assert found_after_answers(crashes, [BAD]) == [BAD]
+
+
+def test_run_that_was_cut_or_lost_its_replica_is_not_sound():
+    """A crash may follow an answer that was dropped or complete."""
+    runs = PromptRuns()
+    for number, identity in enumerate(('cut', 'lost', 'sound')):
+        run = PromptRun(f'a{number}', 's', (identity,))
+        runs.record_began(f'r{number}', run, 0.0)
+    runs.record_cut('r0', 'a0')
+    runs.record_lost('r1', 0.5, 0.6)
+    parts = [SharedPart('s', one) for one in ('cut', 'lost', 'sound')]
+    assert not runs.sound_among(parts, 1.0)
+    assert runs.sound_among(parts, SURVIVAL_S) == parts[2:]
