--- a/tests/policy/test_software_rollouts.py
+++ b/tests/policy/test_software_rollouts.py
@@ -14,6 +14,7 @@
     RolloutView,
     VersionRecord,
     decide,
+    is_doubtful,
 )
 
 DURATION_S = 24.0
@@ -129,3 +130,33 @@
     assert decide(view, BOUNDS).state == REVERTED
     view.others.slow = 80
     assert decide(view, BOUNDS).state != REVERTED
+
+
+@pytest.mark.parametrize(('answered', 'slow'), [(12, 4), (17, 4), (10, 3)])
+def test_few_answers_of_a_slow_version_do_not_earn_it_all_traffic(
+    answered, slow
+):
+    """The version stays on trial, and is reverted if nothing changes."""
+    view = RolloutView(9.8, 15.0, 194)
+    view.target = VersionRecord(answered=answered, slow=slow, sent=20)
+    view.others = VersionRecord(answered=208, slow=10, sent=211)
+    step = decide(view, BOUNDS)
+    assert step is None or step.share_permille < WHOLE_PERMILLE
+    view.elapsed_s = 14.0
+    assert decide(view, BOUNDS).state == REVERTED
+    view.share_permille = WHOLE_PERMILLE
+    assert decide(view, BOUNDS).state == REVERTED
+
+
+@pytest.mark.parametrize('slow_share', [0.0, 0.05, 0.1])
+def test_few_answers_of_a_good_version_rarely_keep_it_on_trial(slow_share):
+    """It is as slow as the old one, which may be now and then."""
+    rng = random.Random(7)
+    doubtful = 0
+    for _ in range(300):
+        slow = sum(rng.random() < slow_share for _ in range(20))
+        target = VersionRecord(answered=20, slow=slow)
+        others = VersionRecord(answered=200, slow=int(200 * slow_share))
+        doubtful += is_doubtful(target, others)
+    # One in a hundred good versions may be stopped.
+    assert doubtful <= 3
