Keep a version on trial while a bad one explains its answers better

Cause: a fault that was not significant was taken for proof of the opposite. Change: a version is also doubtful while its failures or slow answers are more likely under a version that has a quarter more of them than under a good one. Doubt at the end reverts, also where all traffic was given.

--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -12,6 +12,7 @@
 'reverted'
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field, replace
 
@@ -44,6 +45,7 @@
 _END_MARGIN_SHARE = 0.12
 # Fewer failures or slow answers are not significant.
 _MIN_FAULT_COUNT = 3
+_MIN_DOUBT_COUNT = 2
 # A version is faulty if its failures have a lower p-value than this, given the
 # failure rate of the other versions plus a margin. A roll-out is evaluated some
 # hundred times, so about one in a hundred good versions is stopped.
@@ -55,6 +57,9 @@
 # traffic. A good version exceeds it again within some seconds.
 _DOUBT_P_VALUE = 0.02
 _MARGIN_RATIO = 1.3
+# A version of which so many more answers fail or are slow is bad. Few answers
+# don't prove that, so they are also compared with what such a version would give.
+_BAD_EXCESS = 0.25
 
 
 @dataclass(slots=True)
@@ -180,23 +185,51 @@
 def is_doubtful(target: VersionRecord, others: VersionRecord) -> bool:
     """Return whether a version should not get more traffic yet.
 
+    A fault that is not significant is no proof of the opposite: a version is
+    also doubtful while a bad one explains its answers better than a good one.
+
     >>> is_doubtful(VersionRecord(20, slow=5), VersionRecord(200, slow=2))
     True
+    >>> is_doubtful(VersionRecord(12, slow=4), VersionRecord(200, slow=10))
+    True
     """
     p_value = min(
         _failure_p_value(target, others), _slowness_p_value(target, others)
     )
-    return p_value < _DOUBT_P_VALUE
+    return (
+        p_value < _DOUBT_P_VALUE
+        or _is_likelier_bad(target.failed, target, _failing_share(others))
+        or _is_likelier_bad(target.slow, target, _slow_share(others))
+    )
+
+
+def _failing_share(others: VersionRecord) -> float:
+    return _FAILURE_MARGIN + _MARGIN_RATIO * others.failure_share()
+
+
+def _slow_share(others: VersionRecord) -> float:
+    return _SLOW_MARGIN + _MARGIN_RATIO * others.slow_share()
 
 
 def _failure_p_value(target: VersionRecord, others: VersionRecord) -> float:
-    share = _FAILURE_MARGIN + _MARGIN_RATIO * others.failure_share()
-    return _p_value(target.failed, target.answered, share)
+    return _p_value(target.failed, target.answered, _failing_share(others))
 
 
 def _slowness_p_value(target: VersionRecord, others: VersionRecord) -> float:
-    share = _SLOW_MARGIN + _MARGIN_RATIO * others.slow_share()
-    return _p_value(target.slow, target.answered, share)
+    return _p_value(target.slow, target.answered, _slow_share(others))
+
+
+def _is_likelier_bad(
+    count: int, target: VersionRecord, good_share: float
+) -> bool:
+    """Compare a count's likelihood under a bad and under a good version."""
+    bad_share = good_share + _BAD_EXCESS
+    if count < _MIN_DOUBT_COUNT or bad_share >= 1:
+        return False
+    others = target.answered - count
+    return count * math.log(bad_share / good_share) > others * math.log(
+        (1 - good_share) / (1 - bad_share)
+    )
 
 
 def _p_value(count: int, answered: int, share: float) -> float:
@@ -207,8 +240,12 @@
 
 
 def _final_step(view: RolloutView) -> RolloutStep:
-    has_all_traffic = view.share_permille == WHOLE_PERMILLE
-    if has_all_traffic and view.target_replicas and _has_answers(view):
+    has_held = (
+        view.share_permille == WHOLE_PERMILLE
+        and view.target_replicas > 0
+        and not is_doubtful(view.target, view.others)
+    )
+    if has_held and _has_answers(view):
         return RolloutStep(COMPLETED, WHOLE_PERMILLE, 'held to the end')
     return RolloutStep(REVERTED, 0, 'not proven good within its time')
 
