Show a slow stream that counts as in time until it ends

A stream counts as answered at its first bytes and as slow at its end, several times later than a good one.

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -50,6 +50,7 @@
     # Neither a length nor chunks: answers end with their connection.
     unframed: bool = False
     delay_s: float = 0.0
+    event_interval_s: float = 0.005
     # Part of a prompt under which the replica crashes once it has begun to
     # answer, and for how long it is away then.
     crashes_on: str = ''
@@ -257,7 +258,7 @@
             await asyncio.sleep(faults.stall_s)
         writer.write(self._framed(event))
         await writer.drain()
-        await asyncio.sleep(0.005)
+        await asyncio.sleep(faults.event_interval_s)
 
     async def _crash_and_return(self) -> None:
         await asyncio.sleep(self.faults.crash_delay_s)
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -10,6 +10,7 @@
 from fakes.platform_caller import DOCUMENT, read_answer, request_bytes
 from fakes.platform_replica import PlatformReplica
 from snipebridge.policy.circuit_breaker import CircuitBreaker
+from snipebridge.rpc.control_pb2 import SoftwareRollout
 from tests.relay.running_entry import RunningEntry
 
 
@@ -602,3 +603,40 @@
     ][-1]
     assert attempt['shared_parts'] == ['5c']
     assert 0 < attempt['began_ms'] <= attempt['spent_ms']
+
+
+def test_slow_stream_of_a_version_counts_before_its_end():
+    """A slow version has few streams that end while it is on trial."""
+    replicas = [
+        engine_replica(f'm{number}', events=40, software=software)
+        for number, software in enumerate(('v1', 'v1', 'v2'))
+    ]
+    replicas[2].faults.event_interval_s = 0.2
+
+    def slow_answers(entry):
+        return sum(
+            one.slow
+            for one in entry.control.requests[-1].software_outcomes
+            if one.software == 'v2'
+        )
+
+    async def scenario():
+        async with RunningEntry(*replicas) as entry:
+            for _ in range(3):
+                assert (await entry.chat()).is_whole
+            entry.control.reply.software_rollouts.append(
+                SoftwareRollout(
+                    service='models',
+                    target='v2',
+                    share_permille=1000,
+                    number=1,
+                    state='active',
+                )
+            )
+            await entry.replace_list()
+            stream = asyncio.create_task(entry.chat())
+            await entry.wait_until(lambda: slow_answers(entry), 3.0)
+            assert not stream.done()
+            stream.cancel()
+
+    run(scenario())
