Count a slow stream against its version while it runs

Cause: a stream counted as answered at its first bytes and as slow at its end, when its mean interval is known. A version that is several times slower ends few streams while it is on trial, so its slow answers were missing from the decision.

--- a/snipebridge/policy/latency_baseline.py
+++ b/snipebridge/policy/latency_baseline.py
@@ -71,8 +71,16 @@
 
     def is_slow(self, route: str, model: str, spent_s: float) -> bool:
         """Return whether a time far exceeds the baseline, and update it."""
+        is_slow = self.exceeds(route, model, spent_s)
         typical_s = self._times_s.setdefault((route, model), spent_s)
         sample_s = min(spent_s, _SLOW_RATIO * typical_s)
         change_s = _SMOOTHING * (sample_s - typical_s)
         self._times_s[route, model] = typical_s + change_s
+        return is_slow
+
+    def exceeds(self, route: str, model: str, spent_s: float) -> bool:
+        """Return whether a time far exceeds the baseline, if there is one."""
+        typical_s = self._times_s.get((route, model))
+        if typical_s is None:
+            return False
         return spent_s > _SLOW_RATIO * typical_s + _SLOW_MARGIN_S
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -316,7 +316,7 @@
             await reply.start(
                 attempt.head.status, end_to_end_headers(attempt.head.headers)
             )
-        self._outcomes.record_events(events, self._splitter.last_id)
+        self._outcomes.record_events(attempt, events, self._splitter.last_id)
         await reply.write(events)
 
     async def _read_stream(self, attempt: Attempt, progress_s: float) -> bytes:
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -80,8 +80,8 @@
         else:
             replica.circuit_breaker.record_success()
         is_slow = self._is_slow(attempt)
-        if attempt.is_counted and is_slow and not attempt.was_late:
-            self._dependencies.software.record_slow_body(replica)
+        if attempt.is_counted and is_slow:
+            self._record_slow_body(attempt)
         self._count_for_version(attempt, failed=failed, slow=is_slow)
         self._log(attempt, 'answered')
 
@@ -115,13 +115,17 @@
                 progress.first_byte_s,
             )
 
-    def record_events(self, events: bytes, last_event_id: str) -> None:
+    def record_events(
+        self, attempt: Attempt, events: bytes, last_event_id: str
+    ) -> None:
         """Record events that are sent to the caller."""
         count = events.count(_EVENT_END)
         self._event_interval.add_events(
             count, self._dependencies.clock.monotonic_s()
         )
         self._exchange.progress.last_event_id = last_event_id
+        if self._runs_slowly(attempt):
+            self._record_slow_body(attempt)
 
     def _exclude(self, attempt: Attempt, reason: str) -> None:
         replica = attempt.choice.replica
@@ -141,6 +145,23 @@
         ):
             self._dependencies.report_now()
 
+    def _record_slow_body(self, attempt: Attempt) -> None:
+        """Count a counted attempt as slow, at most once."""
+        if not attempt.was_late:
+            attempt.was_late = True
+            self._dependencies.software.record_slow_body(attempt.choice.replica)
+
+    def _runs_slowly(self, attempt: Attempt) -> bool:
+        """Tell whether a stream under way is far slower than usual."""
+        return (
+            attempt.is_counted
+            and self._dependencies.latency_baseline.exceeds(
+                self._exchange.route.name,
+                attempt.choice.model,
+                self._event_interval.mean_interval_s(),
+            )
+        )
+
     def _is_slow(self, attempt: Attempt) -> bool:
         """Tell whether a response is far slower than usual.
 
