Count a stream for its version once its pace is known

Cause: a stream counted as answered at its first bytes, and each draft that was dropped there, half of all runs, counted as a good answer too. Slow answers came later than these or never, so half of the answers slow looked like a quarter. Change: a stream counts once five events give its mean interval, as slow or not, or at its end; a dropped draft counts only if its first byte was late. Before: test_dropped_drafts_say_nothing_of_the_pace_of_a_version counted 6 answers of 3 streams; after: 3.

--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -250,7 +250,7 @@
         self._progress.confidence = attempt.head.confidence
         model = self._models.next_model(attempt)
         if model:
-            self._outcomes.record_response(attempt)
+            self._outcomes.record_dropped(attempt)
             self._progress.escalations += 1
             self._model = model
             return False
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -86,12 +86,16 @@
         self._log(attempt, 'answered')
 
     def record_head(self, attempt: Attempt) -> None:
-        """Count the start of a stream, which says most about its version."""
+        """Note that a replica has begun to answer."""
         self._dependencies.crashes.record_began(attempt, self._exchange)
-        if attempt.head.is_stream and not is_server_failure(
-            attempt.head.status
-        ):
-            self._count_for_version(attempt, failed=False, slow=False)
+
+    def record_dropped(self, attempt: Attempt) -> None:
+        """Count a draft that is dropped at its head.
+
+        It says nothing about the pace of its version.
+        """
+        attempt.choice.replica.circuit_breaker.record_success()
+        self._log(attempt, 'answered')
 
     def record_closed(self, attempt: Attempt) -> None:
         """Note the end of an attempt whose connection has been released."""
@@ -124,8 +128,7 @@
             count, self._dependencies.clock.monotonic_s()
         )
         self._exchange.progress.last_event_id = last_event_id
-        if self._runs_slowly(attempt):
-            self._record_slow_body(attempt)
+        self._judge_pace(attempt)
 
     def _exclude(self, attempt: Attempt, reason: str) -> None:
         replica = attempt.choice.replica
@@ -140,6 +143,7 @@
         if attempt.is_counted:
             return
         attempt.is_counted = True
+        attempt.was_late = attempt.was_late or slow
         if self._dependencies.software.record_outcome(
             attempt.choice.replica, failed=failed, slow=slow
         ):
@@ -151,16 +155,21 @@
             attempt.was_late = True
             self._dependencies.software.record_slow_body(attempt.choice.replica)
 
-    def _runs_slowly(self, attempt: Attempt) -> bool:
-        """Tell whether a stream under way is far slower than usual."""
-        return (
-            attempt.is_counted
-            and self._dependencies.latency_baseline.exceeds(
-                self._exchange.route.name,
-                attempt.choice.model,
-                self._event_interval.mean_interval_s(),
-            )
+    def _judge_pace(self, attempt: Attempt) -> None:
+        """Count a stream for its version once its pace is known.
+
+        Answers and slow answers must be counted alike: a slow version ends few
+        streams while it is on trial.
+        """
+        interval_s = self._event_interval.mean_interval_s()
+        if not interval_s:
+            return
+        is_slow = self._dependencies.latency_baseline.exceeds(
+            self._exchange.route.name, attempt.choice.model, interval_s
         )
+        if attempt.is_counted and is_slow:
+            self._record_slow_body(attempt)
+        self._count_for_version(attempt, failed=False, slow=is_slow)
 
     def _is_slow(self, attempt: Attempt) -> bool:
         """Tell whether a response is far slower than usual.
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -640,3 +640,37 @@
             stream.cancel()
 
     run(scenario())
+
+
+def test_dropped_drafts_say_nothing_of_the_pace_of_a_version():
+    """A slow version would look good by the first tokens of its drafts."""
+    replicas = [
+        engine_replica(f'm{number}', events=40, software=software)
+        for number, software in enumerate(('v1', 'v1', 'v2'))
+    ]
+    for replica in replicas:
+        replica.faults.confidence['small'] = 10
+
+    async def scenario():
+        async with RunningEntry(*replicas) as entry:
+            entry.control.reply.software_rollouts.append(
+                SoftwareRollout(
+                    service='models',
+                    target='v2',
+                    share_permille=0,
+                    number=1,
+                    state='active',
+                )
+            )
+            await entry.replace_list()
+            for _ in range(3):
+                assert (await entry.chat()).is_whole
+            await entry.replace_list()
+            runs = sum(len(one.runs) for one in replicas)
+            answered = sum(
+                one.answered
+                for one in entry.control.requests[-1].software_outcomes
+            )
+            assert (runs, answered) == (6, 3)
+
+    run(scenario())
