Bound the slow answers of a window by its answers

Change: no more slow answers in a window than answers. The leader's line has the slow answers of the other versions too, which the decision compares with. Before: the test had 4 slow of 2 answers; after: 2 of 2.

--- a/snipebridge/fleet/software.py
+++ b/snipebridge/fleet/software.py
@@ -140,4 +140,5 @@
         others_sent=view.others.sent,
         others_answered=view.others.answered,
         others_failed=view.others.failed,
+        others_slow=view.others.slow,
     )
--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -132,10 +132,12 @@
         first_s, first = samples[0]
         if first_s > now_s - self._window_s:
             return replace(record)
+        answered = record.answered - first.answered
         return VersionRecord(
-            record.answered - first.answered,
+            answered,
             record.failed - first.failed,
-            record.slow - first.slow,
+            # An answer counted before the window may have turned slow in it.
+            min(answered, record.slow - first.slow),
             record.sent - first.sent,
         )
 
--- a/tests/policy/test_software_rollouts.py
+++ b/tests/policy/test_software_rollouts.py
@@ -160,3 +160,11 @@
         doubtful += is_doubtful(target, others)
     # One in a hundred good versions may be stopped.
     assert doubtful <= 3
+
+
+def test_window_has_no_more_slow_answers_than_answers():
+    """A stream counted as in time before the window turned slow in it."""
+    recent = RecordWindow()
+    recent.add(VersionRecord(answered=10), 0.0)
+    record = recent.add(VersionRecord(answered=12, slow=4), 3.0)
+    assert (record.answered, record.slow) == (2, 2)
