--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -605,12 +605,30 @@
     assert 0 < attempt['began_ms'] <= attempt['spent_ms']
 
 
-def test_slow_stream_of_a_version_counts_before_its_end():
-    """A slow version has few streams that end while it is on trial."""
-    replicas = [
+def replicas_of_two_versions():
+    """Return two replicas of v1 and one of v2."""
+    return [
         engine_replica(f'm{number}', events=40, software=software)
         for number, software in enumerate(('v1', 'v1', 'v2'))
     ]
+
+
+async def start_rollout(entry, share_permille):
+    """Start a roll-out of v2, and wait until the entry knows it."""
+    rollout = SoftwareRollout(
+        service='models',
+        target='v2',
+        share_permille=share_permille,
+        number=1,
+        state='active',
+    )
+    entry.control.reply.software_rollouts.append(rollout)
+    await entry.replace_list()
+
+
+def test_slow_stream_of_a_version_counts_before_its_end():
+    """A slow version has few streams that end while it is on trial."""
+    replicas = replicas_of_two_versions()
     replicas[2].faults.event_interval_s = 0.2
 
     def slow_answers(entry):
@@ -624,16 +642,7 @@
         async with RunningEntry(*replicas) as entry:
             for _ in range(3):
                 assert (await entry.chat()).is_whole
-            entry.control.reply.software_rollouts.append(
-                SoftwareRollout(
-                    service='models',
-                    target='v2',
-                    share_permille=1000,
-                    number=1,
-                    state='active',
-                )
-            )
-            await entry.replace_list()
+            await start_rollout(entry, share_permille=1000)
             stream = asyncio.create_task(entry.chat())
             await entry.wait_until(lambda: slow_answers(entry), 3.0)
             assert not stream.done()
@@ -644,25 +653,13 @@
 
 def test_dropped_drafts_say_nothing_of_the_pace_of_a_version():
     """A slow version would look good by the first tokens of its drafts."""
-    replicas = [
-        engine_replica(f'm{number}', events=40, software=software)
-        for number, software in enumerate(('v1', 'v1', 'v2'))
-    ]
+    replicas = replicas_of_two_versions()
     for replica in replicas:
         replica.faults.confidence['small'] = 10
 
     async def scenario():
         async with RunningEntry(*replicas) as entry:
-            entry.control.reply.software_rollouts.append(
-                SoftwareRollout(
-                    service='models',
-                    target='v2',
-                    share_permille=0,
-                    number=1,
-                    state='active',
-                )
-            )
-            await entry.replace_list()
+            await start_rollout(entry, share_permille=0)
             for _ in range(3):
                 assert (await entry.chat()).is_whole
             await entry.replace_list()
