Log what the pace of each attempt was compared with

EXPOSURE: the log had sums of slow answers by version, and no line said which attempt counted as slow or why, so the three hypotheses could not be told apart. The attempt line now has when a first token counts as late, the mean interval of the events, what it is compared with, and whether it counted as slow.

--- a/snipebridge/policy/latency_baseline.py
+++ b/snipebridge/policy/latency_baseline.py
@@ -78,6 +78,10 @@
         self._times_s[route, model] = typical_s + change_s
         return is_slow
 
+    def typical_s(self, route: str, model: str) -> float:
+        """Return the baseline, or 0 before the first sample."""
+        return self._times_s.get((route, model), 0.0)
+
     def exceeds(self, route: str, model: str, spent_s: float) -> bool:
         """Return whether a time far exceeds the baseline, if there is one."""
         typical_s = self._times_s.get((route, model))
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -32,13 +32,13 @@
         '_codec',
         '_connection',
         '_is_open',
-        '_late_after_ms',
         '_prefill_speeds',
         '_pool',
         'choice',
         'head',
         'head_s',
         'is_counted',
+        'late_after_ms',
         'sent_s',
         'unfinished_bytes',
         'was_late',
@@ -68,7 +68,7 @@
         self._backlog_ms = choice.backlog_ms
         self._is_open = True
         replica = choice.replica
-        self._late_after_ms = late_after_ms(
+        self.late_after_ms = late_after_ms(
             choice.full_prompt_ms, replica.total_backlog_ms
         )
         # Whether the outcome is already counted for the software version.
@@ -128,7 +128,7 @@
         of it explain.
         """
         waited_s = self._clock.monotonic_s() - self.sent_s
-        return self._late_after_ms / _MS_PER_S - waited_s
+        return self.late_after_ms / _MS_PER_S - waited_s
 
     async def read(self, timeout_s: float) -> bytes:
         """Return the next chunk of the body, empty at its end."""
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -186,6 +186,11 @@
             self._exchange.route.name, attempt.choice.model, spent_s
         )
 
+    def _typical_s(self, attempt: Attempt) -> float:
+        return self._dependencies.latency_baseline.typical_s(
+            self._exchange.route.name, attempt.choice.model
+        )
+
     def _log(self, attempt: Attempt, outcome: str, reason: str = '') -> None:
         replica = attempt.choice.replica
         spent_s = 0.0
@@ -211,6 +216,12 @@
             running=replica.running,
             failure_share=round(replica.circuit_breaker.failure_share, 2),
             began_ms=elapsed_ms(attempt.sent_s, attempt.head_s),
+            late_after_ms=round(attempt.late_after_ms, 1),
+            slow=attempt.was_late,
+            event_interval_ms=round(
+                self._event_interval.mean_interval_s() * _MS_PER_S, 2
+            ),
+            typical_ms=round(self._typical_s(attempt) * _MS_PER_S, 2),
             shared_parts=[
                 part.identity
                 for part in self._exchange.request.shared_parts[-_LOGGED_PARTS:]
