Show a slow version that hides behind pauses of sound streams

Trials on a scratch copy show why: the mean interval of a stream's first events is mostly pauses for other prompts, so a fifth of the sound streams count as slow.

--- /dev/null
+++ b/tests/relay/test_outcomes.py
@@ -0,0 +1,134 @@
+"""Tests of what the outcome of an attempt says about a software version."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from snipebridge.policy.latency_baseline import LatencyBaseline
+from snipebridge.policy.software_rollouts import (
+    REVERTED,
+    RolloutBounds,
+    RolloutView,
+    VersionRecord,
+    decide,
+)
+from snipebridge.relay.attempts import Attempt
+from snipebridge.relay.messages import RelayRequest, ResponseHead
+from snipebridge.relay.outcomes import OutcomeRecorder
+from snipebridge.relay.replica_placement import Choice
+from snipebridge.relay.replicas import Replica
+from snipebridge.relay.software_selection import SoftwareSelector
+from snipebridge.rpc.control_pb2 import SoftwareRollout
+
+STEP_S = 0.015
+EVENTS = 30
+BOUNDS = RolloutBounds()
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    def __init__(self):
+        self.now_s = 1.0
+
+    def monotonic_s(self):
+        """Return the time that was set."""
+        return self.now_s
+
+
+class Entry:
+    """The parts of an entry that count streams of a version on trial."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.software = SoftwareSelector(5.0)
+        rollout = SoftwareRollout(
+            service='s', target='v2', number=1, state='active'
+        )
+        self.software.apply_rollouts([rollout])
+        self.dependencies = SimpleNamespace(
+            clock=self.clock,
+            software=self.software,
+            latency_baseline=LatencyBaseline(),
+            metrics=SimpleNamespace(attempts=SimpleNamespace(inc=id)),
+            report_now=list,
+        )
+
+    def stream(self, software, intervals_s):
+        """Receive one stream, its events after the given intervals."""
+        exchange = SimpleNamespace(
+            request=RelayRequest('POST', '/', '/', 'h', [], b'', 0.0),
+            route=SimpleNamespace(name='r'),
+            progress=SimpleNamespace(last_event_id='', service='s'),
+        )
+        recorder = OutcomeRecorder(
+            self.dependencies, exchange, SimpleNamespace(dispatch_count=1)
+        )
+        replica = Replica(software, 's', 'x:1', 'a', software, 8)
+        choice = Choice(replica, 'm', None, 0.0, 0.0)
+        attempt = Attempt(choice, None, None, None, self.clock)
+        attempt.sent_s = self.clock.now_s
+        attempt.head = ResponseHead(200, [], is_stream=True)
+        attempt._connection = SimpleNamespace(framing='chunks')
+        recorder.record_events(attempt, b'id: 0\n\n', '0')
+        for number, interval_s in enumerate(intervals_s, start=1):
+            self.clock.now_s += interval_s
+            recorder.record_events(attempt, b'id: 1\n\n', str(number))
+        recorder.record_response(attempt)
+
+    def records(self):
+        """Return what the entry reports, by version."""
+        return {
+            one.software: VersionRecord(
+                one.answered, one.failed, one.slow, one.sent
+            )
+            for one in self.software.outcomes()
+        }
+
+
+def intervals(rng, step_s, pauses=0.3):
+    """Return intervals of a stream, some with prompts read in between."""
+    found = [step_s * rng.uniform(0.8, 1.2) for _ in range(EVENTS - 1)]
+    while rng.random() < pauses:
+        found[rng.randrange(8)] += rng.uniform(0.1, 0.6)
+    return found
+
+
+def trial(seed, step_s, count, pauses):
+    """Return what the leader sees once the target has sent some streams."""
+    rng = random.Random(seed)
+    entry = Entry()
+    for _ in range(100):
+        entry.stream('v1', intervals(rng, STEP_S))
+    for _ in range(count):
+        entry.stream('v2', intervals(rng, step_s, pauses))
+    records = entry.records()
+    return RolloutView(
+        7.0, 18.0, 97, target=records['v2'], others=records['v1']
+    )
+
+
+def test_stream_beside_long_prompts_does_not_count_as_slow():
+    """Its first events pause while another prompt is read."""
+    entry = Entry()
+    for _ in range(20):
+        entry.stream('v1', [STEP_S for _ in range(EVENTS)])
+    entry.stream('v1', [0.3, *(STEP_S for _ in range(EVENTS))])
+    assert entry.records()['v1'].slow == 0
+
+
+@pytest.mark.parametrize('ratio', [1.8, 4.0])
+def test_version_of_slow_steps_is_not_hidden_by_pauses_of_sound_streams(ratio):
+    """A few slow requests slow each step of the batch that they are in."""
+    for seed in range(10):
+        step = decide(trial(seed, STEP_S * ratio, 16, pauses=0.3), BOUNDS)
+        assert step is not None, seed
+        assert step.state == REVERTED, seed
+
+
+def test_good_version_beside_long_prompts_is_not_reverted():
+    """It has cold caches, so more of its streams pause."""
+    for seed in range(20):
+        step = decide(trial(seed, STEP_S, 40, pauses=0.6), BOUNDS)
+        assert step is None or step.state != REVERTED, seed
