Compare streams by their undisturbed interval

Cause: a stream counted as slow when the mean interval of its events was, at any event from the fifth on, four times a running mean of its route. Sound streams pause for 0.1 to 0.6 s while long prompts are read at their replica, so a fifth of them counted as slow, and the share that a good version may reach rose to 0.32. A slow run slows each step of the batch it is in, so nearly all streams of such a replica are twice as slow, which a ratio of four does not see. Streams of few events counted as in time, though their pace was not known.

Change: the lower quartile of the intervals is compared with 1.6 times the median of the streams of the service and model whose version is not on trial, at twelve intervals and at the end; whole answers with 2.5 times theirs. Answers whose time says nothing are counted apart (`untimed`), and a version whose pace is not known is not given all traffic while that of the others is. While a version takes over with cold caches the margin is 0.2.

--- a/snipebridge/fleet/evidence.py
+++ b/snipebridge/fleet/evidence.py
@@ -44,5 +44,9 @@
 
 def _record(outcome: SoftwareOutcome) -> VersionRecord:
     return VersionRecord(
-        outcome.answered, outcome.failed, outcome.slow, outcome.sent
+        outcome.answered,
+        outcome.failed,
+        outcome.slow,
+        outcome.sent,
+        outcome.untimed,
     )
--- a/snipebridge/fleet/software.py
+++ b/snipebridge/fleet/software.py
@@ -137,8 +137,10 @@
         target_answered=view.target.answered,
         target_failed=view.target.failed,
         target_slow=view.target.slow,
+        target_untimed=view.target.untimed,
         others_sent=view.others.sent,
         others_answered=view.others.answered,
         others_failed=view.others.failed,
         others_slow=view.others.slow,
+        others_untimed=view.others.untimed,
     )
--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -39,6 +39,8 @@
 # With fewer answers the trial is extended to the later part of the duration.
 _MIN_ANSWERS = 20
 _LATE_RAMP_START = 0.65
+# With fewer timed answers a version may be slow, if others are timed.
+_MIN_TIMED_ANSWERS = 3
 # Time before the deadline at which the roll-out is ended, enough for an entry
 # of the replicated log and a change of leader.
 _END_MARGIN_S = 2.0
@@ -53,6 +55,10 @@
 _FAILURE_MARGIN = 0.03
 # Wider than the failure margin, as latency varies more than the failure rate.
 _SLOW_MARGIN = 0.05
+# When a version takes all traffic its caches are cold, and there is no other
+# version to compare these seconds with. Fewer answers are those of the trial.
+_TAKEOVER_SLOW_MARGIN = 0.2
+_MIN_TAKEOVER_ANSWERS = 40
 # A version with a p-value below this stays in the trial and gets no more
 # traffic. A good version exceeds it again within some seconds.
 _DOUBT_P_VALUE = 0.02
@@ -71,6 +77,13 @@
     slow: int = 0
     # Includes requests that have not been answered yet.
     sent: int = 0
+    # Answers whose time says nothing, such as streams of few events.
+    untimed: int = 0
+
+    @property
+    def timed(self) -> int:
+        """Answers that are known to be slow or not."""
+        return self.answered - self.untimed
 
     def add(self, other: 'VersionRecord') -> None:
         """Add the counts of another version or entry."""
@@ -78,14 +91,15 @@
         self.failed += other.failed
         self.slow += other.slow
         self.sent += other.sent
+        self.untimed += other.untimed
 
     def failure_share(self) -> float:
         """Return the share of failed answers, or 0 without answers."""
         return self.failed / self.answered if self.answered else 0.0
 
     def slow_share(self) -> float:
-        """Return the share of slow answers, or 0 without answers."""
-        return self.slow / self.answered if self.answered else 0.0
+        """Return the share of slow ones among the timed answers, or 0."""
+        return self.slow / self.timed if self.timed else 0.0
 
 
 @dataclass(slots=True)
@@ -132,14 +146,16 @@
         first_s, first = samples[0]
         if first_s > now_s - self._window_s:
             return replace(record)
-        answered = record.answered - first.answered
-        return VersionRecord(
-            answered,
+        recent = VersionRecord(
+            record.answered - first.answered,
             record.failed - first.failed,
-            # An answer counted before the window may have turned slow in it.
-            min(answered, record.slow - first.slow),
+            record.slow - first.slow,
             record.sent - first.sent,
+            record.untimed - first.untimed,
         )
+        # An answer counted before the window may have turned slow in it.
+        recent.slow = min(recent.timed, recent.slow)
+        return recent
 
 
 @dataclass(slots=True, frozen=True)
@@ -160,8 +176,9 @@
 
 def decide(view: RolloutView, bounds: RolloutBounds) -> RolloutStep | None:
     """Return the next step, or None if nothing changes."""
-    fault = find_fault(view.target, view.others) or find_fault(
-        view.target_recent, view.others
+    margin = _slow_margin(view)
+    fault = find_fault(view.target, view.others, margin) or find_fault(
+        view.target_recent, view.others, margin
     )
     if fault:
         return RolloutStep(REVERTED, 0, fault)
@@ -175,16 +192,32 @@
     return RolloutStep(ACTIVE, share, 'on schedule')
 
 
-def find_fault(target: VersionRecord, others: VersionRecord) -> str:
+def _slow_margin(view: RolloutView) -> float:
+    has_taken_over = (
+        view.share_permille == WHOLE_PERMILLE
+        and view.target.timed >= _MIN_TAKEOVER_ANSWERS
+    )
+    return _TAKEOVER_SLOW_MARGIN if has_taken_over else _SLOW_MARGIN
+
+
+def find_fault(
+    target: VersionRecord,
+    others: VersionRecord,
+    slow_margin: float = _SLOW_MARGIN,
+) -> str:
     """Return the significant fault of a version, or an empty string."""
     if _failure_p_value(target, others) < _FAULT_P_VALUE:
         return f'{target.failed} of {target.answered} answers failed'
-    if _slowness_p_value(target, others) < _FAULT_P_VALUE:
-        return f'{target.slow} of {target.answered} answers were slow'
+    if _slowness_p_value(target, others, slow_margin) < _FAULT_P_VALUE:
+        return f'{target.slow} of {target.timed} answers were slow'
     return ''
 
 
-def is_doubtful(target: VersionRecord, others: VersionRecord) -> bool:
+def is_doubtful(
+    target: VersionRecord,
+    others: VersionRecord,
+    slow_margin: float = _SLOW_MARGIN,
+) -> bool:
     """Return whether a version should not get more traffic yet.
 
     A fault that is not significant is no proof of the opposite: a version is
@@ -196,12 +229,17 @@
     True
     """
     p_value = min(
-        _failure_p_value(target, others), _slowness_p_value(target, others)
+        _failure_p_value(target, others),
+        _slowness_p_value(target, others, slow_margin),
     )
     return (
         p_value < _DOUBT_P_VALUE
-        or _is_likelier_bad(target.failed, target, _failing_share(others))
-        or _is_likelier_bad(target.slow, target, _slow_share(others))
+        or _is_likelier_bad(
+            target.failed, target.answered, _failing_share(others)
+        )
+        or _is_likelier_bad(
+            target.slow, target.timed, _slow_share(others, slow_margin)
+        )
     )
 
 
@@ -209,26 +247,28 @@
     return _FAILURE_MARGIN + _MARGIN_RATIO * others.failure_share()
 
 
-def _slow_share(others: VersionRecord) -> float:
-    return _SLOW_MARGIN + _MARGIN_RATIO * others.slow_share()
+def _slow_share(others: VersionRecord, margin: float = _SLOW_MARGIN) -> float:
+    return margin + _MARGIN_RATIO * others.slow_share()
 
 
 def _failure_p_value(target: VersionRecord, others: VersionRecord) -> float:
     return _p_value(target.failed, target.answered, _failing_share(others))
 
 
-def _slowness_p_value(target: VersionRecord, others: VersionRecord) -> float:
-    return _p_value(target.slow, target.answered, _slow_share(others))
+def _slowness_p_value(
+    target: VersionRecord,
+    others: VersionRecord,
+    margin: float = _SLOW_MARGIN,
+) -> float:
+    return _p_value(target.slow, target.timed, _slow_share(others, margin))
 
 
-def _is_likelier_bad(
-    count: int, target: VersionRecord, good_share: float
-) -> bool:
+def _is_likelier_bad(count: int, answered: int, good_share: float) -> bool:
     """Compare a count's likelihood under a bad and under a good version."""
     bad_share = good_share + _BAD_EXCESS
     if count < _MIN_DOUBT_COUNT or bad_share >= 1:
         return False
-    others = target.answered - count
+    others = answered - count
     return count * math.log(bad_share / good_share) > others * math.log(
         (1 - good_share) / (1 - bad_share)
     )
@@ -245,7 +285,7 @@
     has_held = (
         view.share_permille == WHOLE_PERMILLE
         and view.target_replicas > 0
-        and not is_doubtful(view.target, view.others)
+        and not is_doubtful(view.target, view.others, _slow_margin(view))
     )
     if has_held and _has_answers(view):
         return RolloutStep(COMPLETED, WHOLE_PERMILLE, 'held to the end')
@@ -260,7 +300,7 @@
 
 def _is_trial_complete(view: RolloutView) -> bool:
     """Return whether the trial has enough evidence for all traffic."""
-    if is_doubtful(view.target, view.others):
+    if is_doubtful(view.target, view.others) or not _has_timed_answers(view):
         return False
     if view.elapsed_s >= _LATE_RAMP_START * view.duration_s:
         return _has_answers(view)
@@ -274,6 +314,12 @@
     return view.target.answered > 0 or total_sent < _MIN_SENT_REQUESTS
 
 
+def _has_timed_answers(view: RolloutView) -> bool:
+    """Return whether the pace of the version is known, if it can be."""
+    is_timed = view.others.timed >= _MIN_SENT_REQUESTS
+    return not is_timed or view.target.timed >= _MIN_TIMED_ANSWERS
+
+
 def _trial_share(view: RolloutView, bounds: RolloutBounds) -> int:
     """Return the traffic share that gives the target the wanted exposure.
 
--- a/snipebridge/relay/dependencies.py
+++ b/snipebridge/relay/dependencies.py
@@ -6,7 +6,11 @@
 
 from snipebridge.clock import Clock
 from snipebridge.policy.congestion_price import CongestionPrice
-from snipebridge.policy.latency_baseline import LatencyBaseline
+from snipebridge.policy.latency_baseline import (
+    SLOW_ANSWER,
+    SLOW_STREAM,
+    LatencyBaseline,
+)
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.policy.tiers import TierPolicy
@@ -41,5 +45,11 @@
     report_now: Callable[[], None]
     tiers: TierPolicy = field(default_factory=TierPolicy)
     price: CongestionPrice = field(default_factory=CongestionPrice)
-    latency_baseline: LatencyBaseline = field(default_factory=LatencyBaseline)
+    # Typical times of whole answers, and of the events of streams.
+    answer_baseline: LatencyBaseline = field(
+        default_factory=lambda: LatencyBaseline(SLOW_ANSWER)
+    )
+    stream_baseline: LatencyBaseline = field(
+        default_factory=lambda: LatencyBaseline(SLOW_STREAM)
+    )
     buffers: BufferBudget = field(default_factory=BufferBudget)
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -2,7 +2,7 @@
 
 from snipebridge.clock import elapsed_ms
 from snipebridge.logs import log_decision
-from snipebridge.policy.latency_baseline import EventInterval
+from snipebridge.policy.latency_baseline import EventIntervals, LatencyBaseline
 from snipebridge.relay.attempt_limits import AttemptLimits
 from snipebridge.relay.attempts import Attempt, is_server_failure
 from snipebridge.relay.dependencies import ForwardDependencies
@@ -21,7 +21,7 @@
     __slots__ = (
         '_limits',
         '_exchange',
-        '_event_interval',
+        '_intervals',
         '_dependencies',
         'excluded',
         'last_error',
@@ -37,7 +37,7 @@
         self._dependencies = dependencies
         self._exchange = exchange
         self._limits = limits
-        self._event_interval = EventInterval()
+        self._intervals = EventIntervals()
         # Replicas that this request must not use again.
         self.excluded: set[str] = set()
         self.last_error = ''
@@ -63,7 +63,7 @@
         else:
             replica.circuit_breaker.record_failure(now_s)
         self._dependencies.crashes.record_fault(attempt, self._exchange, error)
-        self._event_interval = EventInterval()
+        self._intervals = EventIntervals()
         self._exchange.progress.resumptions += self._exchange.reply.started
         self._log(attempt, error.code, error.message)
 
@@ -79,11 +79,19 @@
             self._exchange.progress.erring_software.add(replica.software)
         else:
             replica.circuit_breaker.record_success()
-        is_slow = self._is_slow(attempt)
+        spent_s = self._spent_s(attempt)
+        is_slow = self._exceeds(attempt, spent_s)
         if attempt.is_counted and is_slow:
             self._record_slow_body(attempt)
-        self._count_for_version(attempt, failed=failed, slow=is_slow)
+        self._count_for_version(
+            attempt,
+            failed=failed,
+            slow=is_slow,
+            is_timed=self._is_comparable(attempt, spent_s),
+        )
         self._log(attempt, 'answered')
+        if spent_s and not failed:
+            self._add_sample(attempt, spent_s)
 
     def record_head(self, attempt: Attempt) -> None:
         """Note that a replica has begun to answer."""
@@ -124,11 +132,11 @@
     ) -> None:
         """Record events that are sent to the caller."""
         count = events.count(_EVENT_END)
-        self._event_interval.add_events(
+        self._intervals.add_events(
             count, self._dependencies.clock.monotonic_s()
         )
         self._exchange.progress.last_event_id = last_event_id
-        self._judge_pace(attempt)
+        self._compare_running(attempt)
 
     def _exclude(self, attempt: Attempt, reason: str) -> None:
         replica = attempt.choice.replica
@@ -137,7 +145,12 @@
         self.last_error = f'{replica.id}: {reason}'
 
     def _count_for_version(
-        self, attempt: Attempt, *, failed: bool, slow: bool
+        self,
+        attempt: Attempt,
+        *,
+        failed: bool,
+        slow: bool,
+        is_timed: bool = True,
     ) -> None:
         """Count an attempt for its software version, at most once."""
         if attempt.is_counted:
@@ -145,7 +158,10 @@
         attempt.is_counted = True
         attempt.was_late = attempt.was_late or slow
         if self._dependencies.software.record_outcome(
-            attempt.choice.replica, failed=failed, slow=slow
+            attempt.choice.replica,
+            failed=failed,
+            slow=slow,
+            is_timed=is_timed,
         ):
             self._dependencies.report_now()
 
@@ -155,40 +171,66 @@
             attempt.was_late = True
             self._dependencies.software.record_slow_body(attempt.choice.replica)
 
-    def _judge_pace(self, attempt: Attempt) -> None:
+    def _compare_running(self, attempt: Attempt) -> None:
         """Count a stream for its version once its pace is known.
 
         Answers and slow answers must be counted alike: a slow version ends few
         streams while it is on trial.
         """
-        interval_s = self._event_interval.mean_interval_s()
-        if not interval_s:
+        if not self._intervals.is_early_look_due:
             return
-        is_slow = self._dependencies.latency_baseline.exceeds(
-            self._exchange.route.name, attempt.choice.model, interval_s
-        )
+        interval_s = self._intervals.typical_s()
+        if not self._is_comparable(attempt, interval_s):
+            return
+        is_slow = self._exceeds(attempt, interval_s)
         if attempt.is_counted and is_slow:
             self._record_slow_body(attempt)
         self._count_for_version(attempt, failed=False, slow=is_slow)
 
-    def _is_slow(self, attempt: Attempt) -> bool:
-        """Tell whether a response is far slower than usual.
+    def _is_comparable(self, attempt: Attempt, spent_s: float) -> bool:
+        return spent_s > 0 and self._baseline(attempt).has_samples(
+            self._kind(attempt), attempt.choice.model
+        )
+
+    def _exceeds(self, attempt: Attempt, spent_s: float) -> bool:
+        return self._baseline(attempt).exceeds(
+            self._kind(attempt), attempt.choice.model, spent_s
+        )
+
+    def _add_sample(self, attempt: Attempt, spent_s: float) -> None:
+        if not self._dependencies.software.is_on_trial(attempt.choice.replica):
+            self._baseline(attempt).add_sample(
+                self._kind(attempt), attempt.choice.model, spent_s
+            )
 
-        For a stream this is the mean interval of its events; its first token
+    def _spent_s(self, attempt: Attempt) -> float:
+        """Return the time to compare with what is typical, 0 if unknown.
+
+        For a stream this is the undisturbed interval of its events; its first token
         is checked separately when it is due. Other responses are measured
         from sending the request to their end.
         """
         if attempt.head.is_stream:
-            spent_s = self._event_interval.mean_interval_s()
-        else:
-            spent_s = self._dependencies.clock.monotonic_s() - attempt.sent_s
-        return spent_s > 0 and self._dependencies.latency_baseline.is_slow(
-            self._exchange.route.name, attempt.choice.model, spent_s
-        )
+            return self._intervals.typical_s()
+        return self._dependencies.clock.monotonic_s() - attempt.sent_s
+
+    def _baseline(self, attempt: Attempt) -> LatencyBaseline:
+        if attempt.head is not None and attempt.head.is_stream:
+            return self._dependencies.stream_baseline
+        return self._dependencies.answer_baseline
+
+    def _kind(self, attempt: Attempt) -> str:
+        """Return what answers are alike in their time.
+
+        All streams of a batch advance by the same steps, whatever their route.
+        """
+        if attempt.head is not None and attempt.head.is_stream:
+            return attempt.choice.replica.service
+        return self._exchange.route.name
 
     def _typical_s(self, attempt: Attempt) -> float:
-        return self._dependencies.latency_baseline.typical_s(
-            self._exchange.route.name, attempt.choice.model
+        return self._baseline(attempt).typical_s(
+            self._kind(attempt), attempt.choice.model
         )
 
     def _log(self, attempt: Attempt, outcome: str, reason: str = '') -> None:
@@ -218,9 +260,7 @@
             began_ms=elapsed_ms(attempt.sent_s, attempt.head_s),
             late_after_ms=round(attempt.late_after_ms, 1),
             slow=attempt.was_late,
-            event_interval_ms=round(
-                self._event_interval.mean_interval_s() * _MS_PER_S, 2
-            ),
+            event_interval_ms=round(self._intervals.typical_s() * _MS_PER_S, 2),
             typical_ms=round(self._typical_s(attempt) * _MS_PER_S, 2),
             shared_parts=[
                 part.identity
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -180,6 +180,15 @@
         for draw in draws:
             self._remote_draws[draw] = now_s
 
+    def is_on_trial(self, replica: Replica) -> bool:
+        """Tell whether a replica runs the target of an active roll-out."""
+        rollout = self._rollouts.get(replica.service)
+        return (
+            rollout is not None
+            and rollout.state == ACTIVE
+            and rollout.target == replica.software
+        )
+
     def record_sent(self, replica: Replica) -> None:
         """Count a request sent to a version."""
         record = self._record(replica)
@@ -187,7 +196,12 @@
             record.sent += 1
 
     def record_outcome(
-        self, replica: Replica, *, failed: bool, slow: bool
+        self,
+        replica: Replica,
+        *,
+        failed: bool,
+        slow: bool,
+        is_timed: bool = True,
     ) -> bool:
         """Count a response; tell whether this entry stops the target now."""
         record = self._record(replica)
@@ -196,6 +210,7 @@
         record.answered += 1
         record.failed += failed
         record.slow += slow
+        record.untimed += not is_timed
         service = replica.service
         return self._stop_if_bad(
             self._rollouts[service], self._observations[service]
@@ -218,6 +233,7 @@
                 failed=record.failed,
                 slow=record.slow,
                 sent=record.sent,
+                untimed=record.untimed,
             )
             for service, observation in self._observations.items()
             if self._rollouts[service].state == ACTIVE
--- a/tests/policy/test_software_rollouts.py
+++ b/tests/policy/test_software_rollouts.py
@@ -168,3 +168,20 @@
     recent.add(VersionRecord(answered=10), 0.0)
     record = recent.add(VersionRecord(answered=12, slow=4), 3.0)
     assert (record.answered, record.slow) == (2, 2)
+
+
+def test_cold_caches_of_a_takeover_do_not_revert_a_good_version():
+    """A third of the first tokens is late for two seconds; most is not."""
+    view = RolloutView(12.8, 18.0, WHOLE_PERMILLE)
+    view.target = VersionRecord(answered=121, untimed=41, slow=18, sent=258)
+    view.target_recent = VersionRecord(answered=47, slow=17, sent=190)
+    view.others = VersionRecord(answered=336, untimed=108, slow=15, sent=433)
+    step = decide(view, BOUNDS)
+    assert step is None or step.state != REVERTED
+    view.target.slow = 22
+    step = decide(view, BOUNDS)
+    assert step is None or step.state != REVERTED
+    view.elapsed_s = 16.0
+    assert decide(view, BOUNDS).state == COMPLETED
+    view.target_recent.slow = 33
+    assert decide(view, BOUNDS).state == REVERTED
--- a/tests/relay/test_outcomes.py
+++ b/tests/relay/test_outcomes.py
@@ -5,9 +5,14 @@
 
 import pytest
 
-from snipebridge.policy.latency_baseline import LatencyBaseline
+from snipebridge.policy.latency_baseline import (
+    SLOW_ANSWER,
+    SLOW_STREAM,
+    LatencyBaseline,
+)
 from snipebridge.policy.software_rollouts import (
     REVERTED,
+    WHOLE_PERMILLE,
     RolloutBounds,
     RolloutView,
     VersionRecord,
@@ -50,7 +55,8 @@
         self.dependencies = SimpleNamespace(
             clock=self.clock,
             software=self.software,
-            latency_baseline=LatencyBaseline(),
+            answer_baseline=LatencyBaseline(SLOW_ANSWER),
+            stream_baseline=LatencyBaseline(SLOW_STREAM),
             metrics=SimpleNamespace(attempts=SimpleNamespace(inc=id)),
             report_now=list,
         )
@@ -81,7 +87,11 @@
         """Return what the entry reports, by version."""
         return {
             one.software: VersionRecord(
-                one.answered, one.failed, one.slow, one.sent
+                one.answered,
+                one.failed,
+                one.slow,
+                one.sent,
+                one.untimed,
             )
             for one in self.software.outcomes()
         }
@@ -127,6 +137,21 @@
         assert step.state == REVERTED, seed
 
 
+def test_streams_too_short_to_time_do_not_speak_for_a_slow_version():
+    """They end before their pace is known."""
+    entry = Entry()
+    for _ in range(60):
+        entry.stream('v1', [STEP_S for _ in range(EVENTS)])
+    for _ in range(20):
+        entry.stream('v2', [STEP_S, STEP_S])
+    records = entry.records()
+    view = RolloutView(
+        17.0, 24.0, 97, target=records['v2'], others=records['v1']
+    )
+    step = decide(view, BOUNDS)
+    assert step is None or step.share_permille < WHOLE_PERMILLE
+
+
 def test_good_version_beside_long_prompts_is_not_reverted():
     """It has cold caches, so more of its streams pause."""
     for seed in range(20):
