Show a version on trial that gets all of what reaches its service

EXPOSURE, found by reading: an entry sends each request to the target where no other replica is listed, and counts its share of sessions, not of what reaches the service.

--- a/tests/relay/test_software_selection.py
+++ b/tests/relay/test_software_selection.py
@@ -1,6 +1,7 @@
 """Tests of the selection of a software version at one entry."""
 
 import pytest
+import xxhash
 
 from snipebridge.relay.replicas import Replica
 from snipebridge.relay.software_selection import SoftwareSelector
@@ -179,3 +180,41 @@
         apply_rollout(choice, share_permille=share)
         found = choice.eligible(OLD + NEW, 's', 'a', 'a', 0.0, {'v2'}, erring)
         assert {one.software for one in found} == {expected}
+
+
+def send(choice, key, replicas, others_limit=1.0):
+    """Send a request, of the old version only a part; return its version."""
+    found = choice.eligible(replicas, 's', '', key, 0.0)
+    taken = xxhash.xxh3_64_intdigest(f'{key}/taken'.encode()) % 1000
+    if not found or (
+        found[0].software == 'v1' and taken >= others_limit * 1000
+    ):
+        return ''
+    choice.record_sent(found[0])
+    return found[0].software
+
+
+def test_trial_keeps_its_share_when_all_other_replicas_are_gone():
+    """What is left is refused: the version may be bad."""
+    choice = SoftwareSelector(5.0)
+    apply_rollout(choice, share_permille=97)
+    for number in range(200):
+        send(choice, f'before {number}', OLD + NEW)
+    sent = [send(choice, f'after {number}', NEW) for number in range(800)]
+    assert 0 < sent.count('v2') < 150
+
+
+@pytest.mark.parametrize('entries', [1, 6, 83, 191, 340])
+def test_trial_keeps_its_share_when_other_replicas_take_few_requests(entries):
+    """Requests that are refused there do not reach the service."""
+    chosen = []
+    for entry in range(entries):
+        choice = SoftwareSelector(5.0)
+        apply_rollout(choice, share_permille=97)
+        chosen += [
+            send(choice, f'{entry}/{number}', OLD + NEW, 0.2)
+            for number in range(max(20, 1200 // entries))
+        ]
+    sent = [one for one in chosen if one]
+    assert sent.count('v2') <= 0.15 * len(sent) + 30
+    assert sent.count('v2') >= 0.05 * len(sent)
