Bound a version on trial by what reaches its service

What callers would see: a version on trial gets all requests, whatever its share, while no other replica is listed, and a growing part while the others take few.

Cause: the share was one of the sessions asked for; nothing counted dispatches, and an entry without another replica sent everything to the target. The class: a share of the offered load taken for a share of the served load.

Ruled out: a bound in the leader's share (it learns of dispatches one heartbeat late, and not from entries that are cut off); a bound rounded up at each entry, which at 191 entries allows 191 requests more (tests at 1 to 340 entries).

Change: each entry keeps the bound for its own dispatches, so that it holds for their sum; its rounding is drawn once for each roll-out. Sessions that are on the target stay. Requests that find no other replica are refused as not run. Where a service has no other version at all there is nothing to try, and the target gets everything. Tests of the selection that sent nothing now stand beside a busy old version; their bounds are as they were.

Conclusion: fixed; that it is what the users saw is suspected only.

--- a/snipebridge/fleet/software.py
+++ b/snipebridge/fleet/software.py
@@ -30,7 +30,14 @@
     process first saw it; the time of day may jump.
     """
 
-    __slots__ = ('_bounds', '_changed', '_clock', '_first_seen_s', '_recent')
+    __slots__ = (
+        '_bounds',
+        '_changed',
+        '_clock',
+        '_first_seen_s',
+        '_recent',
+        '_with_others',
+    )
 
     def __init__(self, clock: Clock, bounds: RolloutBounds) -> None:
         """Start without a roll-out."""
@@ -40,6 +47,8 @@
         # The share that was seen last, and since when.
         self._changed: dict[tuple[str, int], tuple[int, float]] = {}
         self._recent: dict[tuple[str, int], RecordWindow] = {}
+        # Roll-outs beside which another version was listed.
+        self._with_others: set[tuple[str, int]] = set()
 
     def commands(
         self,
@@ -75,14 +84,20 @@
             and not one.draining
             for one in listed
         )
-        recent = self._recent.setdefault(
-            (rollout.service, rollout.number), RecordWindow()
-        )
+        key = (rollout.service, rollout.number)
+        if any(
+            one.service == rollout.service and one.software != rollout.target
+            for one in listed
+        ):
+            self._with_others.add(key)
+        recent = self._recent.setdefault(key, RecordWindow())
         return RolloutView(
             elapsed_s=self._elapsed_s(rollout),
             duration_s=rollout.duration_ms / _MS_PER_S,
             share_permille=rollout.share_permille,
             target_replicas=ready,
+            # Only a roll-out beside another version has a trial.
+            has_others=key in self._with_others or rollout.share_permille > 0,
             unchanged_s=self._unchanged_s(rollout),
             target=target,
             target_recent=recent.add(target, self._clock.monotonic_s()),
--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -110,6 +110,8 @@
     duration_s: float
     share_permille: int
     target_replicas: int = 1
+    # Whether a replica of another version was listed since the order.
+    has_others: bool = True
     # Time since the last change of the share.
     unchanged_s: float = float('inf')
     target: VersionRecord = field(default_factory=VersionRecord)
@@ -293,7 +295,9 @@
 
 
 def _next_share(view: RolloutView, bounds: RolloutBounds) -> int:
-    if view.share_permille == WHOLE_PERMILLE or _is_trial_complete(view):
+    if view.share_permille == WHOLE_PERMILLE or not view.has_others:
+        return WHOLE_PERMILLE
+    if _is_trial_complete(view):
         return WHOLE_PERMILLE
     return _trial_share(view, bounds)
 
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -57,7 +57,13 @@
         self._metrics = RelayMetrics()
         self._supervisor = Supervisor(self._metrics.registry, clock)
         self._pool = ConnectionPool()
-        self._state = RelayState(SoftwareSelector(settings.promises.session_s))
+        self._state = RelayState(
+            SoftwareSelector(
+                settings.promises.session_s,
+                settings.promises.canary_share,
+                rng,
+            )
+        )
         self._reporter = RelayReporter(self._state, clock)
         self._reporter.on_replica_removed = self._pool.drop
         self._reporter.on_table_change = self._apply_limits
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -7,6 +7,7 @@
 waiting for the leader.
 """
 
+import random
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
     REVERTED,
 )
 from snipebridge.logs import log_decision
+from snipebridge.policy.canary_exposure import CanaryExposure
 from snipebridge.policy.software_rollouts import (
     WHOLE_PERMILLE,
     VersionRecord,
@@ -48,6 +50,7 @@
     """Outcomes of this entry's requests by version during one roll-out."""
 
     number: int
+    exposure: CanaryExposure
     records: dict[str, VersionRecord] = field(default_factory=dict)
     is_stopped: bool = False
 
@@ -61,13 +64,26 @@
         '_pins',
         '_rollouts',
         '_observations',
+        '_exposure_share',
+        '_rng',
         '_session_ttl_s',
         '_stable_software',
     )
 
-    def __init__(self, session_ttl_s: float) -> None:
-        """Pin a session to its version for a time after its last use."""
+    def __init__(
+        self,
+        session_ttl_s: float,
+        exposure_share: float = 0.15,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Pin a session to its version for a time after its last use.
+
+        A version on trial gets at most `exposure_share` of what this entry
+        sends to its service, but for the sessions that it already has.
+        """
         self._session_ttl_s = session_ttl_s
+        self._exposure_share = exposure_share
+        self._rng = rng or random.Random()
         self._rollouts: dict[str, SoftwareRollout] = {}
         self._observations: dict[str, _RolloutObservation] = {}
         self._pins: dict[tuple[str, str], _Pin] = {}
@@ -87,7 +103,8 @@
             observation = self._observations.get(rollout.service)
             if observation is None or observation.number != rollout.number:
                 self._observations[rollout.service] = _RolloutObservation(
-                    rollout.number
+                    rollout.number,
+                    CanaryExposure(self._exposure_share, self._rng.random()),
                 )
             log_decision(
                 'software_rollout_known',
@@ -139,9 +156,7 @@
             return others
         if rollout.share_permille and target:
             pinned = self._pinned(service, session, now_s)
-            if not others or self._uses_target(
-                rollout, pinned, hash_key, now_s
-            ):
+            if self._uses_target(rollout, pinned, hash_key, now_s):
                 return _canary_replicas(rollout, target, others, pinned)
         return others
 
@@ -194,6 +209,11 @@
         record = self._record(replica)
         if record is not None:
             record.sent += 1
+            service = replica.service
+            target = self._rollouts[service].target
+            self._observations[service].exposure.record(
+                on_target=replica.software == target
+            )
 
     def record_outcome(
         self,
@@ -282,7 +302,9 @@
         reported_s = self._remote_draws.get(draw, float('-inf'))
         if now_s - reported_s <= self._session_ttl_s:
             return False
-        return draw % WHOLE_PERMILLE < rollout.share_permille
+        if draw % WHOLE_PERMILLE >= rollout.share_permille:
+            return False
+        return self._observations[rollout.service].exposure.allows_more()
 
     def _is_stopped_locally(self, service: str) -> bool:
         observation = self._observations.get(service)
--- a/tests/relay/test_software_selection.py
+++ b/tests/relay/test_software_selection.py
@@ -1,5 +1,7 @@
 """Tests of the selection of a software version at one entry."""
 
+import random
+
 import pytest
 import xxhash
 
@@ -11,8 +13,10 @@
 NEW = [Replica(f'n{one}', 's', 'x:1', 'a', 'v2', 4) for one in range(3)]
 
 
-def apply_rollout(choice, state='active', share_permille=0, number=1):
-    """Apply a roll-out to v2."""
+def apply_rollout(
+    choice, state='active', share_permille=0, number=1, sent_before=9999
+):
+    """Apply a roll-out to v2, beside which the old version is busy."""
     choice.apply_rollouts(
         [
             SoftwareRollout(
@@ -24,6 +28,8 @@
             )
         ]
     )
+    for _ in range(sent_before):
+        choice.record_sent(OLD[0])
 
 
 def versions(choice, session='', hash_key='k', replicas=None, now_s=0.0):
@@ -197,7 +203,7 @@
 def test_trial_keeps_its_share_when_all_other_replicas_are_gone():
     """What is left is refused: the version may be bad."""
     choice = SoftwareSelector(5.0)
-    apply_rollout(choice, share_permille=97)
+    apply_rollout(choice, share_permille=97, sent_before=0)
     for number in range(200):
         send(choice, f'before {number}', OLD + NEW)
     sent = [send(choice, f'after {number}', NEW) for number in range(800)]
@@ -209,8 +215,8 @@
     """Requests that are refused there do not reach the service."""
     chosen = []
     for entry in range(entries):
-        choice = SoftwareSelector(5.0)
-        apply_rollout(choice, share_permille=97)
+        choice = SoftwareSelector(5.0, rng=random.Random(entry))
+        apply_rollout(choice, share_permille=97, sent_before=0)
         chosen += [
             send(choice, f'{entry}/{number}', OLD + NEW, 0.2)
             for number in range(max(20, 1200 // entries))
