Show a version that is advanced while nothing can be told of it

In a storm of crashes 147 of 231 answers of the old version are slow, so a good one may be slow in 0.88 of its answers; 3 of 15 slow ones are taken for a pass.

--- a/tests/policy/test_software_rollouts.py
+++ b/tests/policy/test_software_rollouts.py
@@ -185,3 +185,23 @@
     assert decide(view, BOUNDS).state == COMPLETED
     view.target_recent.slow = 33
     assert decide(view, BOUNDS).state == REVERTED
+
+
+def test_version_is_not_advanced_while_most_old_answers_are_slow():
+    """In a storm of crashes a slow version looks no worse than the old one."""
+    view = RolloutView(9.6, 18.0, 291)
+    view.target = VersionRecord(answered=21, untimed=6, slow=3, sent=34)
+    view.others = VersionRecord(answered=337, untimed=106, slow=147, sent=810)
+    step = decide(view, BOUNDS)
+    assert step is None or step.share_permille < WHOLE_PERMILLE
+    view.elapsed_s = 16.0
+    assert decide(view, BOUNDS).state == REVERTED
+
+
+def test_version_is_not_advanced_while_most_old_answers_fail():
+    """Half of the answers of both versions fail for another reason."""
+    view = RolloutView(9.6, 18.0, 291)
+    view.target = VersionRecord(answered=30, failed=15, sent=34)
+    view.others = VersionRecord(answered=300, failed=150, sent=300)
+    step = decide(view, BOUNDS)
+    assert step is None or step.share_permille < WHOLE_PERMILLE
