Take a fixed share of slow answers for cold caches in a takeover

A share of 0.35 is now the least that a good version may show in a takeover, and the old version's share with its usual margin where that is more. Tests of the decision pass unchanged.

--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -57,7 +57,7 @@
 _SLOW_MARGIN = 0.05
 # When a version takes all traffic its caches are cold, and there is no other
 # version to compare these seconds with. Fewer answers are those of the trial.
-_TAKEOVER_SLOW_MARGIN = 0.2
+_TAKEOVER_SLOW_SHARE = 0.35
 _MIN_TAKEOVER_ANSWERS = 40
 # A version with a p-value below this stays in the trial and gets no more
 # traffic. A good version exceeds it again within some seconds.
@@ -178,9 +178,9 @@
 
 def decide(view: RolloutView, bounds: RolloutBounds) -> RolloutStep | None:
     """Return the next step, or None if nothing changes."""
-    margin = _slow_margin(view)
-    fault = find_fault(view.target, view.others, margin) or find_fault(
-        view.target_recent, view.others, margin
+    least_share = _least_slow_share(view)
+    fault = find_fault(view.target, view.others, least_share) or find_fault(
+        view.target_recent, view.others, least_share
     )
     if fault:
         return RolloutStep(REVERTED, 0, fault)
@@ -194,23 +194,24 @@
     return RolloutStep(ACTIVE, share, 'on schedule')
 
 
-def _slow_margin(view: RolloutView) -> float:
+def _least_slow_share(view: RolloutView) -> float:
+    """Return the share of slow answers that says nothing against a version."""
     has_taken_over = (
         view.share_permille == WHOLE_PERMILLE
         and view.target.timed >= _MIN_TAKEOVER_ANSWERS
     )
-    return _TAKEOVER_SLOW_MARGIN if has_taken_over else _SLOW_MARGIN
+    return _TAKEOVER_SLOW_SHARE if has_taken_over else 0
 
 
 def find_fault(
     target: VersionRecord,
     others: VersionRecord,
-    slow_margin: float = _SLOW_MARGIN,
+    least_slow_share: float = 0,
 ) -> str:
     """Return the significant fault of a version, or an empty string."""
     if _failure_p_value(target, others) < _FAULT_P_VALUE:
         return f'{target.failed} of {target.answered} answers failed'
-    if _slowness_p_value(target, others, slow_margin) < _FAULT_P_VALUE:
+    if _slowness_p_value(target, others, least_slow_share) < _FAULT_P_VALUE:
         return f'{target.slow} of {target.timed} answers were slow'
     return ''
 
@@ -218,7 +219,7 @@
 def is_doubtful(
     target: VersionRecord,
     others: VersionRecord,
-    slow_margin: float = _SLOW_MARGIN,
+    least_slow_share: float = 0,
 ) -> bool:
     """Return whether a version should not get more traffic yet.
 
@@ -232,7 +233,7 @@
     """
     p_value = min(
         _failure_p_value(target, others),
-        _slowness_p_value(target, others, slow_margin),
+        _slowness_p_value(target, others, least_slow_share),
     )
     return (
         p_value < _DOUBT_P_VALUE
@@ -240,7 +241,7 @@
             target.failed, target.answered, _failing_share(others)
         )
         or _is_likelier_bad(
-            target.slow, target.timed, _slow_share(others, slow_margin)
+            target.slow, target.timed, _slow_share(others, least_slow_share)
         )
     )
 
@@ -249,8 +250,9 @@
     return _FAILURE_MARGIN + _MARGIN_RATIO * others.failure_share()
 
 
-def _slow_share(others: VersionRecord, margin: float = _SLOW_MARGIN) -> float:
-    return margin + _MARGIN_RATIO * others.slow_share()
+def _slow_share(others: VersionRecord, least_share: float = 0) -> float:
+    share = _SLOW_MARGIN + _MARGIN_RATIO * others.slow_share()
+    return max(share, least_share)
 
 
 def _failure_p_value(target: VersionRecord, others: VersionRecord) -> float:
@@ -260,9 +262,9 @@
 def _slowness_p_value(
     target: VersionRecord,
     others: VersionRecord,
-    margin: float = _SLOW_MARGIN,
+    least_share: float,
 ) -> float:
-    return _p_value(target.slow, target.timed, _slow_share(others, margin))
+    return _p_value(target.slow, target.timed, _slow_share(others, least_share))
 
 
 def _is_likelier_bad(count: int, answered: int, good_share: float) -> bool:
@@ -287,7 +289,7 @@
     has_held = (
         view.share_permille == WHOLE_PERMILLE
         and view.target_replicas > 0
-        and not is_doubtful(view.target, view.others, _slow_margin(view))
+        and not is_doubtful(view.target, view.others, _least_slow_share(view))
     )
     if has_held and _has_answers(view):
         return RolloutStep(COMPLETED, WHOLE_PERMILLE, 'held to the end')
