Give no version all traffic while nothing can be told of it

Cause: what a good version may show rises with what the old one shows, to 0.88 there, and no difference was taken for a pass. The class: absence of evidence from a test without power.

Change: no advance while a good version may show more than 0.45 failed or slow answers; the trial goes on, and the version is reverted at its end if nothing changes.

--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -66,6 +66,9 @@
 # A version of which so many more answers fail or are slow is bad. Few answers
 # don't prove that, so they are also compared with what such a version would give.
 _BAD_EXCESS = 0.25
+# Where more answers of a good version may fail or be slow, a bad one can't be
+# told from it.
+_MAX_GOOD_SHARE = 0.45
 
 
 @dataclass(slots=True)
@@ -306,7 +309,9 @@
 
 def _is_trial_complete(view: RolloutView) -> bool:
     """Return whether the trial has enough evidence for all traffic."""
-    if is_doubtful(view.target, view.others) or not _has_timed_answers(view):
+    if not (_is_comparable(view.others) and _has_timed_answers(view)):
+        return False
+    if is_doubtful(view.target, view.others):
         return False
     if view.elapsed_s >= _LATE_RAMP_START * view.duration_s:
         return _has_answers(view)
@@ -320,6 +325,12 @@
     return view.target.answered > 0 or total_sent < _MIN_SENT_REQUESTS
 
 
+def _is_comparable(others: VersionRecord) -> bool:
+    """Return whether a bad version would look worse than the others."""
+    good_share = max(_failing_share(others), _slow_share(others))
+    return good_share <= _MAX_GOOD_SHARE
+
+
 def _has_timed_answers(view: RolloutView) -> bool:
     """Return whether the pace of the version is known, if it can be."""
     is_timed = view.others.timed >= _MIN_SENT_REQUESTS
