Show replicas that get all their traffic though they named a limit

LIMIT: 1 to 340 entries before six replicas, three of which name 0.2, 1 or 4 requests a second; entries come, go and are cut off, and the leader changes. Each limited replica gets some 33 requests in 4 s, as without a limit.

--- /dev/null
+++ b/tests/relay/test_replica_limits.py
@@ -0,0 +1,197 @@
+"""Plays entries before replicas that name a rate limit for all of them."""
+
+import random
+from collections import deque
+from types import SimpleNamespace
+
+import pytest
+
+from snipebridge.fleet.state import RoutedState
+from snipebridge.relay.messages import RateSign, RelayRequest
+from snipebridge.relay.replica_placement import ReplicaPlacer
+from snipebridge.relay.reporting import RelayReporter
+from snipebridge.relay.software_selection import SoftwareSelector
+from snipebridge.relay.state import RelayState
+from snipebridge.rpc.control_pb2 import (
+    HeartbeatReply,
+    HeartbeatRequest,
+    ListedReplica,
+)
+
+ROUND_S = 0.02
+ANSWER_S = 0.1
+REPLICAS = [f'r{number}' for number in range(6)]
+LISTED = [ListedReplica(id=one, service='s', address=one) for one in REPLICAS]
+# Requests a second to each replica, without a limit.
+DEMAND_PER_S = 6.0
+# When a replica names its limit, and when it has to hold.
+NAMED_S = 2.0
+BOUND_S = 5.0
+
+
+class Entry:
+    """One entry; an exchange of reports with the leader is a call."""
+
+    def __init__(self, name, fleet):
+        self.name = name
+        self.fleet = fleet
+        self.is_cut = False
+        self.start()
+
+    def start(self):
+        """Start without any knowledge."""
+        rng = random.Random(f'{self.name}/{self.fleet.now_s}')
+        self.state = RelayState(SoftwareSelector(5.0))
+        self.state.replicas.update_list(LISTED, 0.0, 0.0)
+        self.reporter = RelayReporter(self.state, self.fleet)
+        self.placer = ReplicaPlacer(self.state, self.fleet, rng, '')
+
+    def report(self):
+        """Exchange one heartbeat with the leader."""
+        if self.is_cut:
+            return
+        request = HeartbeatRequest(entry=self.name)
+        self.reporter.fill_request(request)
+        reply = HeartbeatReply()
+        self.fleet.leader.take_report(request, self.name, self.fleet.now_s)
+        self.reporter.apply_reply(reply)
+
+    def place(self):
+        """Return the replica of a request, none if it is refused."""
+        exchange = SimpleNamespace(
+            request=RelayRequest('GET', '/', '/', 'h', [], b'', 0.0),
+            progress=SimpleNamespace(
+                failed_software=set(), erring_software=set()
+            ),
+        )
+        choice = self.placer.place(exchange, 's', '', ())
+        return choice and choice.replica.id
+
+
+class Fleet:
+    """Entries, a leader, and what reaches each replica."""
+
+    def __init__(self, entries, per_s, limited):
+        self.now_s = 0.0
+        self.rng = random.Random(entries)
+        self.leader = RoutedState()
+        self.limits = {one: per_s for one in REPLICAS[:limited]}
+        self.entries = [Entry(f'e{number}', self) for number in range(entries)]
+        self.arrivals = {one: [] for one in REPLICAS}
+        self.refused = []
+        self._answers = deque()
+        # Heartbeats of many entries are further apart.
+        self._interval_rounds = round(max(0.2, entries / 250) / ROUND_S)
+
+    def monotonic_s(self):
+        """Return the time, as a clock does."""
+        return self.now_s
+
+    def play(self, until_s, demand=1.0):
+        """Send requests and exchange reports until a time."""
+        rate = len(REPLICAS) * DEMAND_PER_S * demand
+        while self.now_s < until_s:
+            self._answer()
+            for position, entry in enumerate(self.entries):
+                if (self._round() + position) % self._interval_rounds == 0:
+                    entry.report()
+            if self.rng.random() < rate * ROUND_S:
+                self._send(self.rng.choice(self.entries))
+            self.now_s += ROUND_S
+
+    def most_in_4_s(self, replica, since_s=BOUND_S):
+        """Return the most requests that reached a replica in some 4 s."""
+        times = [one for one in self.arrivals[replica] if one >= since_s]
+        return max(
+            (sum(first <= one < first + 4 for one in times) for first in times),
+            default=0,
+        )
+
+    def served(self, replica, since_s, until_s):
+        """Return how many requests reached a replica in a period."""
+        return sum(since_s <= one < until_s for one in self.arrivals[replica])
+
+    def _round(self):
+        return round(self.now_s / ROUND_S)
+
+    def _send(self, entry):
+        replica = entry.place()
+        if replica is None:
+            self.refused.append(self.now_s)
+            return
+        self.arrivals[replica].append(self.now_s)
+        limit = self.limits.get(replica) if self.now_s >= NAMED_S else None
+        sign = RateSign(is_named=limit is not None, per_s=limit)
+        self._answers.append((self.now_s + ANSWER_S, entry, replica, sign))
+
+    def _answer(self):
+        while self._answers and self._answers[0][0] <= self.now_s:
+            _, entry, replica, sign = self._answers.popleft()
+            entry.state.limits.record_answer(replica, sign, self.now_s)
+
+
+def allowed(per_s):
+    """Return what a replica may get in 4 s, by the operators' rule."""
+    return 1.5 * 4 * per_s + 5
+
+
+@pytest.mark.parametrize('per_s', [0.2, 1.0, 4.0])
+@pytest.mark.parametrize('entries', [1, 9, 83, 191, 340])
+def test_replica_gets_its_limit_summed_over_all_entries(entries, per_s):
+    """It is not starved either, and nobody is refused meanwhile."""
+    fleet = Fleet(entries, per_s, limited=3)
+    fleet.play(25.0)
+    for replica in REPLICAS[:3]:
+        assert fleet.most_in_4_s(replica) <= allowed(per_s)
+        assert fleet.served(replica, 5.0, 25.0) >= 0.4 * per_s * 20
+    assert not fleet.refused
+
+
+@pytest.mark.parametrize('entries', [9, 191])
+def test_entries_that_come_go_and_are_cut_off_keep_a_limit(entries):
+    """A third is cut off for 6 s, and another third starts again in turn."""
+    fleet = Fleet(entries, 1.0, limited=3)
+    fleet.play(8.0)
+    third = max(1, entries // 3)
+    for one in fleet.entries[:third]:
+        one.is_cut = True
+    for number in range(third):
+        fleet.play(8.0 + 6.0 * (number + 1) / third)
+        fleet.entries[third + number].start()
+    for one in fleet.entries[:third]:
+        one.is_cut = False
+    fleet.play(25.0)
+    for replica in REPLICAS[:3]:
+        assert fleet.most_in_4_s(replica) <= allowed(1.0)
+
+
+def test_limit_of_all_replicas_refuses_what_is_beyond_it():
+    """All of them go on with their limit, the rest is refused at once."""
+    fleet = Fleet(9, 2.0, limited=len(REPLICAS))
+    fleet.play(25.0)
+    for replica in REPLICAS:
+        assert fleet.most_in_4_s(replica) <= allowed(2.0)
+        assert fleet.served(replica, 5.0, 25.0) >= 0.5 * 2.0 * 20
+    assert fleet.refused
+
+
+def test_new_leader_goes_on_with_a_limit():
+    """It knows nothing; the entries tell it."""
+    fleet = Fleet(9, 1.0, limited=3)
+    fleet.play(10.0)
+    fleet.leader = RoutedState()
+    fleet.play(25.0)
+    for replica in REPLICAS[:3]:
+        assert fleet.most_in_4_s(replica) <= allowed(1.0)
+        assert fleet.served(replica, 10.0, 25.0) >= 0.4 * 15
+
+
+@pytest.mark.parametrize('entries', [9, 191])
+def test_replica_whose_limit_has_ended_is_used_in_full(entries):
+    """Each entry uses it, also one that has not seen the end itself."""
+    fleet = Fleet(entries, 1.0, limited=3)
+    fleet.play(12.0)
+    fleet.limits.clear()
+    fleet.play(22.0)
+    for replica in REPLICAS[:3]:
+        assert fleet.served(replica, 15.0, 22.0) >= 0.6 * DEMAND_PER_S * 7
