Keep a replica's rate limit over all entries by grants of the leader

Cause: no decision used the limit. The class: a bound that is a sum over all entries, of which each sees a part.

Ruled out: repeats (12 of the 44 attempts at the limited replicas from 10 to 18.3 s were not first ones, so first attempts alone exceed the limit); a limit kept by each entry (no entry sent more than a few in 4 s); an even part for each entry and grants that wait for a request that prefers the replica (docs/design/rate-limits.md).

Change: entries tell the leader which limits answers named, the newest counts, and the leader grants requests that end by themselves. An entry with a grant uses it for its next request, else it sends the request elsewhere, or refuses it at once as not run where all are limited. While the demand is below half of the limit nothing changes. Without a leader an entry uses half of its even part.

--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -25,6 +25,7 @@
     routed.take_report(request, process, now_s)
     take_prompt_report(routed.crashes, request, now_s)
     add_prompt_state(leadership, reply, now_s)
+    routed.rate_limits.add_reply(request, reply, now_s)
     reply.routing_version = machine.routing.version
     if request.routing_version < machine.routing.version:
         _add_routing(leadership, request, reply)
--- a/snipebridge/fleet/state.py
+++ b/snipebridge/fleet/state.py
@@ -17,6 +17,7 @@
 )
 from snipebridge.fleet.packing import PackedDocument
 from snipebridge.fleet.paces import FleetPaces
+from snipebridge.fleet.rate_limits import FleetRateLimits
 from snipebridge.policy.prompt_crashes import PromptCrashes
 from snipebridge.policy.prefill_speed import ModelPrefillSpeed
 from snipebridge.rpc.control_pb2 import (
@@ -63,6 +64,7 @@
     held: HeldList = field(default_factory=HeldList)
     loads: FleetLoads = field(default_factory=FleetLoads)
     paces: FleetPaces = field(default_factory=FleetPaces)
+    rate_limits: FleetRateLimits = field(default_factory=FleetRateLimits)
     crashes: PromptCrashes = field(default_factory=PromptCrashes)
     packed: PackedDocument = field(default_factory=PackedDocument)
     _asked: dict[str, _Asked] = field(default_factory=dict)
@@ -86,6 +88,7 @@
     ) -> None:
         """Take what an entry says of versions and replicas."""
         self.evidence.take(process, request.software_outcomes)
+        self.rate_limits.take(request, now_s)
         self.loads.take(request.entry, request.replica_uses, now_s)
         paces = [
             ModelPrefillSpeed(one.model, one.ms_per_token)
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -96,12 +96,14 @@
 
     def record_rate_sign(self, attempt: Attempt, head: ResponseHead) -> None:
         """Note whether a replica names a rate limit, also if it refused."""
-        if not head.is_misdirected:
-            self._dependencies.limits.record_answer(
-                attempt.choice.replica.id,
-                head.rate_sign,
-                self._dependencies.clock.monotonic_s(),
-            )
+        if head.is_misdirected:
+            return
+        if self._dependencies.limits.record_answer(
+            attempt.choice.replica.id,
+            head.rate_sign,
+            self._dependencies.clock.monotonic_s(),
+        ):
+            self._dependencies.report_now()
 
     def record_head(self, attempt: Attempt) -> None:
         """Note that a replica has begun to answer."""
--- a/snipebridge/relay/replica_placement.py
+++ b/snipebridge/relay/replica_placement.py
@@ -46,6 +46,7 @@
         '_prefill_speeds',
         '_rng',
         '_software',
+        '_limits',
     )
 
     def __init__(
@@ -58,6 +59,7 @@
         """Use the replica, software version and speed state of the entry."""
         self._replicas = state.replicas
         self._software = state.software
+        self._limits = state.limits
         self._prefill_speeds = state.prefill_speeds
         self._clock = clock
         self._rng = rng
@@ -72,17 +74,24 @@
     ) -> Choice | None:
         """Return the cheapest eligible replica, or none if there is none."""
         now_s = self._clock.monotonic_s()
-        candidates = self._candidates(exchange, service, excluded, now_s)
+        eligible = self._candidates(exchange, service, excluded, now_s)
+        candidates = self._limits.usable(eligible, now_s)
         shape = prompt_shape(exchange, model)
         speed = self._prefill_speeds.speed(model)
         loads = [
-            self._load(replica, exchange, model, now_s)
-            for replica in candidates
+            self._load(replica, exchange, model, now_s) for replica in eligible
         ]
         placement = choose(loads, shape, speed, self._rng)
+        if placement is not None:
+            self._limits.record_wanted(placement.replica, now_s)
+        if len(candidates) < len(eligible):
+            usable = {replica.id for replica in candidates}
+            loads = [one for one in loads if one.replica in usable]
+            placement = choose(loads, shape, speed, self._rng)
         if placement is None:
             return None
         replica = self._replicas.by_id[placement.replica]
+        self._limits.use(replica.id, now_s)
         log_decision(
             'replica',
             request_id=exchange.request.attempt_id,
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -25,6 +25,7 @@
         '_replicas',
         '_clock',
         '_entries_digest',
+        '_limits',
         '_prefill_speeds',
         '_prompts',
         '_sent_at_s',
@@ -42,6 +43,7 @@
         self._software = state.software
         self._prefill_speeds = state.prefill_speeds
         self._prompts = state.prompts
+        self._limits = state.limits
         self._clock = clock
         self._entries_digest = 0
         self._sent_at_s = 0.0
@@ -67,6 +69,7 @@
             for one in self._prefill_speeds.learned_speeds()
         )
         self._prompts.fill_request(request, self._sent_at_s)
+        self._limits.fill_request(request, self._sent_at_s)
 
     def apply_reply(self, reply: HeartbeatReply) -> bool:
         """Apply routes, replicas and roll-outs; tell whether all are current.
@@ -80,6 +83,7 @@
             self.entry_count = max(1, len(staying))
         self._take_routing(reply)
         self._take_replicas(reply)
+        self._limits.apply_reply(reply, self._sent_at_s, self.entry_count)
         self._software.apply_rollouts(reply.software_rollouts)
         self._replicas.apply_loads(reply.replica_loads)
         for speed in reply.model_paces:
--- a/tests/relay/test_replica_limits.py
+++ b/tests/relay/test_replica_limits.py
@@ -22,7 +22,8 @@
 ANSWER_S = 0.1
 REPLICAS = [f'r{number}' for number in range(6)]
 LISTED = [ListedReplica(id=one, service='s', address=one) for one in REPLICAS]
-# Requests a second to each replica, without a limit.
+# Least requests a second to each replica, without a limit; an entry of a
+# large fleet has one a second.
 DEMAND_PER_S = 6.0
 # When a replica names its limit, and when it has to hold.
 NAMED_S = 2.0
@@ -44,6 +45,7 @@
         self.state = RelayState(SoftwareSelector(5.0))
         self.state.replicas.update_list(LISTED, 0.0, 0.0)
         self.reporter = RelayReporter(self.state, self.fleet)
+        self.reporter.entry_count = self.fleet.count
         self.placer = ReplicaPlacer(self.state, self.fleet, rng, '')
 
     def report(self):
@@ -54,6 +56,9 @@
         self.reporter.fill_request(request)
         reply = HeartbeatReply()
         self.fleet.leader.take_report(request, self.name, self.fleet.now_s)
+        self.fleet.leader.rate_limits.add_reply(
+            request, reply, self.fleet.now_s
+        )
         self.reporter.apply_reply(reply)
 
     def place(self):
@@ -74,6 +79,7 @@
     def __init__(self, entries, per_s, limited):
         self.now_s = 0.0
         self.rng = random.Random(entries)
+        self.count = entries
         self.leader = RoutedState()
         self.limits = {one: per_s for one in REPLICAS[:limited]}
         self.entries = [Entry(f'e{number}', self) for number in range(entries)]
@@ -87,15 +93,15 @@
         """Return the time, as a clock does."""
         return self.now_s
 
-    def play(self, until_s, demand=1.0):
+    def play(self, until_s):
         """Send requests and exchange reports until a time."""
-        rate = len(REPLICAS) * DEMAND_PER_S * demand
+        rate = max(len(REPLICAS) * DEMAND_PER_S, len(self.entries))
         while self.now_s < until_s:
             self._answer()
             for position, entry in enumerate(self.entries):
                 if (self._round() + position) % self._interval_rounds == 0:
                     entry.report()
-            if self.rng.random() < rate * ROUND_S:
+            for _ in range(int(rate * ROUND_S + self.rng.random())):
                 self._send(self.rng.choice(self.entries))
             self.now_s += ROUND_S
 
@@ -127,7 +133,8 @@
     def _answer(self):
         while self._answers and self._answers[0][0] <= self.now_s:
             _, entry, replica, sign = self._answers.popleft()
-            entry.state.limits.record_answer(replica, sign, self.now_s)
+            if entry.state.limits.record_answer(replica, sign, self.now_s):
+                entry.report()
 
 
 def allowed(per_s):
@@ -157,7 +164,9 @@
         one.is_cut = True
     for number in range(third):
         fleet.play(8.0 + 6.0 * (number + 1) / third)
+        # An entry serves once a leader has answered it.
         fleet.entries[third + number].start()
+        fleet.entries[third + number].report()
     for one in fleet.entries[:third]:
         one.is_cut = False
     fleet.play(25.0)
@@ -195,3 +204,12 @@
     fleet.play(22.0)
     for replica in REPLICAS[:3]:
         assert fleet.served(replica, 15.0, 22.0) >= 0.6 * DEMAND_PER_S * 7
+
+
+def test_limit_far_above_the_demand_changes_nothing():
+    """The replica is neither avoided nor preferred."""
+    fleet = Fleet(9, 40.0, limited=3)
+    fleet.play(25.0)
+    for replica in REPLICAS[:3]:
+        served = fleet.served(replica, 5.0, 25.0) / 20
+        assert 0.6 * DEMAND_PER_S <= served <= 1.4 * DEMAND_PER_S
