--- a/tests/relay/test_replica_limits.py
+++ b/tests/relay/test_replica_limits.py
@@ -85,6 +85,8 @@
         self.entries = [Entry(f'e{number}', self) for number in range(entries)]
         self.arrivals = {one: [] for one in REPLICAS}
         self.refused = []
+        # Requests a second.
+        self.rate = max(len(REPLICAS) * DEMAND_PER_S, entries)
         self._answers = deque()
         # Heartbeats of many entries are further apart.
         self._interval_rounds = round(max(0.2, entries / 250) / ROUND_S)
@@ -95,13 +97,12 @@
 
     def play(self, until_s):
         """Send requests and exchange reports until a time."""
-        rate = max(len(REPLICAS) * DEMAND_PER_S, len(self.entries))
         while self.now_s < until_s:
             self._answer()
             for position, entry in enumerate(self.entries):
                 if (self._round() + position) % self._interval_rounds == 0:
                     entry.report()
-            for _ in range(int(rate * ROUND_S + self.rng.random())):
+            for _ in range(int(self.rate * ROUND_S + self.rng.random())):
                 self._send(self.rng.choice(self.entries))
             self.now_s += ROUND_S
 
@@ -213,3 +214,18 @@
     for replica in REPLICAS[:3]:
         served = fleet.served(replica, 5.0, 25.0) / 20
         assert 0.6 * DEMAND_PER_S <= served <= 1.4 * DEMAND_PER_S
+
+
+@pytest.mark.parametrize('entries', [9, 191])
+@pytest.mark.parametrize('per_s', [1.1, 8.0])
+def test_burst_after_a_calm_time_keeps_a_limit(entries, per_s):
+    """The entries have used far less than the limit before."""
+    fleet = Fleet(entries, per_s, limited=3)
+    burst = fleet.rate * max(1.0, per_s / 2)
+    for calm, until_s in ((0.3, 10.0), (0.8, 18.0), (2.0, 26.0)):
+        fleet.rate = calm * len(REPLICAS)
+        fleet.play(until_s - 4)
+        fleet.rate = burst
+        fleet.play(until_s)
+    for replica in REPLICAS[:3]:
+        assert fleet.most_in_4_s(replica) <= allowed(per_s)
