Grant each request to a limited replica, also where the demand is low

Cause: while all entries wanted less than half of a limit, requests were sent without grants. A burst was sent on until the demand had been reported, and what the full bucket granted came on top.

Ruled out: an empty bucket at the end of such a time (the burst alone passes the limit at 191 entries).

Change: every request needs a grant. An entry asks for one for each request that would have gone there, and gets no more than it asked for, so a replica whose limit is above its demand gets its demand.

The tests' random numbers are seeded now.

--- a/snipebridge/fleet/rate_limits.py
+++ b/snipebridge/fleet/rate_limits.py
@@ -76,7 +76,6 @@
                     per_s=limit.per_s,
                     age_s=now_s - limit.seen_s,
                     granted=granted,
-                    ample=limit.grants.is_ample(),
                 )
             )
 
--- a/snipebridge/policy/rate_grants.py
+++ b/snipebridge/policy/rate_grants.py
@@ -28,9 +28,6 @@
 _ASKING_VALID_S = 3.0
 # How often the demand of all entries is summed up.
 _SUM_INTERVAL_S = 0.5
-# Entries need no grants while they want less than this part of the limit: a jump
-# of the demand is known before it exceeds it.
-_AMPLE_SHARE = 0.5
 # For this long a request counts as demand.
 DEMAND_S = 2.0
 # What a replica is sent that names a limit near zero, so that its answer can
@@ -61,7 +58,6 @@
         '_demands',
         '_filled_s',
         '_per_s',
-        '_started_s',
         '_summed_s',
         '_tokens',
         '_total',
@@ -71,7 +67,6 @@
         """Start with no grant to give."""
         self._per_s = max(per_s, MIN_PER_S)
         self._tokens = 0.0
-        self._started_s = now_s
         self._filled_s = now_s
         self._demands: dict[str, _Demand] = {}
         self._total = 0
@@ -82,12 +77,6 @@
         self._fill(now_s)
         self._per_s = max(per_s, MIN_PER_S)
 
-    def is_ample(self) -> bool:
-        """Tell whether all entries together want far less than the limit."""
-        if self._filled_s - self._started_s < DEMAND_S:
-            return False
-        return self._total / DEMAND_S < _AMPLE_SHARE * self._per_s
-
     def grant(
         self, entry: str, wanted: int, now_s: float, rng: random.Random
     ) -> int:
@@ -103,7 +92,7 @@
         rate = max(self._per_s, self._tokens / _SPREAD_S)
         due = rate * elapsed_s * wanted / max(wanted, self._total)
         # A part of a request is drawn for.
-        number = min(int(self._tokens), int(due + rng.random()))
+        number = min(wanted, int(self._tokens), int(due + rng.random()))
         self._tokens -= number
         return number
 
--- a/snipebridge/relay/replica_limits.py
+++ b/snipebridge/relay/replica_limits.py
@@ -44,8 +44,6 @@
     wanted_s: deque[float] = field(
         default_factory=lambda: deque(maxlen=_MAX_DEMAND)
     )
-    # Whether all entries together want far less than the limit.
-    is_ample: bool = False
     # Earliest time of the next request without a leader.
     next_s: float | None = None
 
@@ -148,9 +146,11 @@
                 self._learn(told.replica, told.named, told.per_s, seen_s)
             limit = self._limits[told.replica]
             limit.next_s = None
-            limit.is_ample = told.ample and told.named
             ends_s = sent_s + grant_valid_s(limit.per_s)
-            limit.grants.extend(ends_s for _ in range(told.granted))
+            for _ in range(told.granted):
+                limit.grants.append(ends_s)
+                if limit.wanted_s:
+                    limit.wanted_s.popleft()
 
     def _learn(
         self, replica: str, named: bool, per_s: float, seen_s: float
@@ -177,12 +177,12 @@
         limit = self._limits[replica]
         while limit.grants and limit.grants[0] <= now_s:
             limit.grants.popleft()
-        return bool(limit.grants) and not limit.is_ample
+        return bool(limit.grants)
 
     def _has_room(self, limit: _Limit, now_s: float) -> bool:
         """Tell whether a request without a grant may be sent."""
         if now_s - self._replied_s <= _LEADERLESS_S:
-            return limit.is_ample
+            return False
         if limit.next_s is None:
             # Entries begin at different times, so that they do not add up.
             limit.next_s = now_s + self._rng.random() * self._interval_s(limit)
--- a/tests/relay/test_replica_limits.py
+++ b/tests/relay/test_replica_limits.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from snipebridge.fleet.rate_limits import FleetRateLimits
 from snipebridge.fleet.state import RoutedState
 from snipebridge.relay.messages import RateSign, RelayRequest
+from snipebridge.relay.replica_limits import ReplicaLimits
 from snipebridge.relay.replica_placement import ReplicaPlacer
 from snipebridge.relay.reporting import RelayReporter
 from snipebridge.relay.software_selection import SoftwareSelector
@@ -30,6 +32,11 @@
 BOUND_S = 5.0
 
 
+def make_leader(seed):
+    """Return the state of a leader that knows nothing."""
+    return RoutedState(rate_limits=FleetRateLimits(random.Random(seed)))
+
+
 class Entry:
     """One entry; an exchange of reports with the leader is a call."""
 
@@ -42,7 +49,9 @@
     def start(self):
         """Start without any knowledge."""
         rng = random.Random(f'{self.name}/{self.fleet.now_s}')
-        self.state = RelayState(SoftwareSelector(5.0))
+        self.state = RelayState(
+            SoftwareSelector(5.0), limits=ReplicaLimits(rng)
+        )
         self.state.replicas.update_list(LISTED, 0.0, 0.0)
         self.reporter = RelayReporter(self.state, self.fleet)
         self.reporter.entry_count = self.fleet.count
@@ -80,7 +89,7 @@
         self.now_s = 0.0
         self.rng = random.Random(entries)
         self.count = entries
-        self.leader = RoutedState()
+        self.leader = make_leader(entries)
         self.limits = {one: per_s for one in REPLICAS[:limited]}
         self.entries = [Entry(f'e{number}', self) for number in range(entries)]
         self.arrivals = {one: [] for one in REPLICAS}
@@ -189,7 +198,7 @@
     """It knows nothing; the entries tell it."""
     fleet = Fleet(9, 1.0, limited=3)
     fleet.play(10.0)
-    fleet.leader = RoutedState()
+    fleet.leader = make_leader(10)
     fleet.play(25.0)
     for replica in REPLICAS[:3]:
         assert fleet.most_in_4_s(replica) <= allowed(1.0)
