--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -56,6 +56,8 @@
     crashes_on: str = ''
     crash_delay_s: float = 0.06
     restart_s: float = 1.5
+    # Requests a second that it says it takes; nothing is said if empty.
+    rate_limit: str = ''
     confidence: dict[str, int] = field(default_factory=dict)
 
 
@@ -289,6 +291,8 @@
             ('X-Attempt-Id', named),
             ('X-Instance-Load', f'{self.running},0,{self.slots}'),
         ]
+        if self.faults.rate_limit:
+            headers.append(('Server-Limit', self.faults.rate_limit))
         if not self.faults.drops_signature:
             headers.append(('X-Response-Signature', f'{self.name}.sig'))
         return headers
--- a/tests/relay/running_entry.py
+++ b/tests/relay/running_entry.py
@@ -46,6 +46,7 @@
     not_run='X-Not-Executed',
     load='X-Instance-Load',
     confidence='X-Confidence',
+    rate_limit='Server-Limit',
     reserved=['X-Pin-Ms', 'Kv-From'],
 )
 
