--- a/snipebridge/fleet/rate_limits.py
+++ b/snipebridge/fleet/rate_limits.py
@@ -8,16 +8,13 @@
 from dataclasses import dataclass
 
 from snipebridge.logs import log_decision
-from snipebridge.policy.rate_grants import RateGrants
+from snipebridge.policy.rate_grants import LIMIT_VALID_S, RateGrants
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
     ReplicaRateLimit,
 )
 
-# A limit that no answer confirms is forgotten, and so is the end of one.
-LIMIT_VALID_S = 20.0
-
 
 @dataclass(slots=True)
 class _FleetLimit:
--- a/snipebridge/policy/rate_grants.py
+++ b/snipebridge/policy/rate_grants.py
@@ -14,6 +14,8 @@
 import random
 from dataclasses import dataclass
 
+# A limit that no answer confirms is forgotten, and so is the end of one.
+LIMIT_VALID_S = 20.0
 # How long a grant may be used, by the rate. What reaches a replica in some time
 # exceeds its rate by what is granted in this time and by the burst.
 _GRANT_VALID_S = 1.5
--- a/snipebridge/relay/replica_limits.py
+++ b/snipebridge/relay/replica_limits.py
@@ -12,6 +12,7 @@
 from snipebridge.logs import log_decision
 from snipebridge.policy.rate_grants import (
     DEMAND_S,
+    LIMIT_VALID_S,
     MIN_PER_S,
     grant_valid_s,
 )
@@ -23,8 +24,7 @@
     ReplicaRateLimit,
 )
 
-# A limit that no answer confirms is forgotten, and so is the end of one.
-_LIMIT_VALID_S = 20.0
+# More requests than this within the time that demand counts add nothing.
 _MAX_DEMAND = 64
 # After this time without a reply an entry goes by its even part of the limit,
 # of which it uses a share: others may still use their grants.
@@ -118,7 +118,7 @@
         self._limits = {
             replica: limit
             for replica, limit in self._limits.items()
-            if now_s - limit.seen_s <= _LIMIT_VALID_S
+            if now_s - limit.seen_s <= LIMIT_VALID_S
         }
         for replica, limit in self._limits.items():
             while limit.wanted_s and limit.wanted_s[0] < now_s - DEMAND_S:
