Log what identifies a request by its path, caller and body

The record of BUDGET can't tell whether attempts are one request: the log names neither the body nor the last part of a prompt. decision:attempt and decision:request now have a digest (blake2b, 16 bytes) of method, target, account and body, never the content.

--- a/snipebridge/relay/exchange.py
+++ b/snipebridge/relay/exchange.py
@@ -64,3 +64,13 @@
     priority: int = 0
     outcome: str = ''
     progress: Progress = field(default_factory=Progress)
+
+    @property
+    def account_name(self) -> str:
+        """The account of the caller, empty on a route without keys."""
+        return self.account.name if self.account else ''
+
+    @property
+    def digest(self) -> str:
+        """What this request shares with those of the same content."""
+        return self.request.digest_for(self.account_name)
--- a/snipebridge/relay/filters.py
+++ b/snipebridge/relay/filters.py
@@ -72,6 +72,7 @@
         log_decision(
             'request',
             request_id=request.attempt_id,
+            digest=exchange.digest,
             route=exchange.route.name if exchange.route else '',
             routing_version=exchange.table.version,
             account=exchange.account.name if exchange.account else '',
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from http import HTTPStatus
 
 from snipebridge.settings.models import HeaderSettings
 
 _MS_PER_S = 1000
 _LAST_EVENT_ID = 'last-event-id'
+_DIGEST_BYTES = 16
 # Above every valid number in a header.
 _NUMBER_LIMIT = 1_000_000_000
 # Hop-by-hop headers (RFC 9110, 7.6.1), and the length, which is set anew.
@@ -61,6 +63,20 @@
     expected_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ''
+    # Collision-resistant digest of method, target and body.
+    content_digest: bytes = b''
+
+    def digest_for(self, account: str) -> str:
+        """Return what requests of one account with the same content share.
+
+        >>> request = HeaderCodec(HeaderSettings()).read_request(
+        ...     'GET', '/a', [('Snipebridge-Attempt-Id', '1')], b'', 0.0
+        ... )
+        >>> request.digest_for('x') == request.digest_for('y')
+        False
+        """
+        content = account.encode() + b'\0' + self.content_digest
+        return blake2b(content, digest_size=_DIGEST_BYTES).hexdigest()
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -180,6 +196,7 @@
                 fields.get(names.prompt_parts.lower(), '')
             ),
             last_event_id=fields.get(_LAST_EVENT_ID, ''),
+            content_digest=_digest(method, target, body),
         )
 
     def render(self, request: RelayRequest, dispatch: Dispatch) -> bytes:
@@ -257,6 +274,13 @@
     return [pair for pair in listed if pair[0].lower() not in stripped]
 
 
+def _digest(method: str, target: str, body: bytes) -> bytes:
+    # Neither a method nor a target holds a space.
+    digest = blake2b(f'{method} {target} '.encode(), digest_size=_DIGEST_BYTES)
+    digest.update(body)
+    return digest.digest()
+
+
 def _path(target: str) -> str:
     path = target.partition('?')[0]
     if path.startswith('/'):
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -256,6 +256,7 @@
         log_decision(
             'attempt',
             request_id=self._exchange.request.attempt_id,
+            digest=self._exchange.digest,
             replica=replica.id,
             software=replica.software,
             model=attempt.choice.model,
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -7,7 +7,12 @@
 import eliot
 import pytest
 
-from fakes.platform_caller import DOCUMENT, read_answer, request_bytes
+from fakes.platform_caller import (
+    CHAT_HEADERS,
+    DOCUMENT,
+    read_answer,
+    request_bytes,
+)
 from fakes.platform_replica import PlatformReplica
 from snipebridge.policy.circuit_breaker import CircuitBreaker
 from snipebridge.rpc.control_pb2 import SoftwareRollout
@@ -605,6 +610,33 @@
     assert 0 < attempt['began_ms'] <= attempt['spent_ms']
 
 
+def test_log_has_one_digest_for_the_same_path_caller_and_body():
+    """The id of the attempt, the entry and other headers do not matter."""
+    lines = []
+    eliot.add_destinations(lines.append)
+
+    async def scenario():
+        async with RunningEntry(engine_replica()) as entry:
+            for path, body in (('x', b'p'), ('x', b'p'), ('y', b'p')):
+                attempt = {
+                    **CHAT_HEADERS,
+                    'X-Attempt-Id': f'{path}{len(lines)}',
+                }
+                await entry.request(f'/chat/{path}', 'POST', body, attempt)
+            await entry.request('/chat/x', 'POST', b'q', CHAT_HEADERS)
+
+    run(scenario())
+    eliot.remove_destination(lines.append)
+    digests = [
+        one['digest']
+        for one in lines
+        if one['message_type'] == 'decision:attempt'
+    ]
+    assert len(digests) == 4
+    assert digests[0] == digests[1]
+    assert len(set(digests)) == 3
+
+
 def replicas_of_two_versions():
     """Return two replicas of v1 and one of v2."""
     return [
