--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import random
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -54,6 +55,10 @@
     # Part of a prompt under which the replica crashes once it has begun to
     # answer, and for how long it is away then.
     crashes_on: str = ''
+    # Target of requests under which it crashes once it has begun to run them,
+    # and in which share of the runs.
+    crashes_on_target: str = ''
+    crash_share: float = 1.0
     crash_delay_s: float = 0.06
     restart_s: float = 1.5
     # Requests a second that it says it takes; nothing is said if empty.
@@ -115,6 +120,7 @@
         # When it crashed, by the clock of the event loop.
         self.crashes: list[float] = []
         self._crash: asyncio.Task | None = None
+        self._rng = random.Random(name)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -199,6 +205,8 @@
     async def _run(self, run: ReplicaRun, writer) -> bool:
         run.outcome = 'running'
         faults = self.faults
+        if run.target == faults.crashes_on_target:
+            await self._run_deadly(run)
         await asyncio.sleep(_NEVER_S if faults.is_silent else faults.delay_s)
         if faults.loses_answers:
             run.outcome = 'lost'
@@ -235,8 +243,8 @@
         if not self.faults.unframed:
             headers.append(('Transfer-Encoding', 'chunked'))
         writer.write(_head(200, headers, None))
-        if run.shares_part(self.faults.crashes_on) and self._crash is None:
-            self._crash = asyncio.create_task(self._crash_and_return())
+        if run.shares_part(self.faults.crashes_on):
+            self._crash_soon()
         start = int(run.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
             await self._event(run, writer, number, number - start)
@@ -262,6 +270,17 @@
         await writer.drain()
         await asyncio.sleep(faults.event_interval_s)
 
+    async def _run_deadly(self, run: ReplicaRun) -> None:
+        if self._rng.random() >= self.faults.crash_share:
+            return
+        self._crash_soon()
+        if 'x-prefix-hash' not in run.headers:
+            await asyncio.sleep(_NEVER_S)
+
+    def _crash_soon(self) -> None:
+        if self._crash is None:
+            self._crash = asyncio.create_task(self._crash_and_return())
+
     async def _crash_and_return(self) -> None:
         await asyncio.sleep(self.faults.crash_delay_s)
         self.crashes.append(asyncio.get_running_loop().time())
