Suspect a request by its path, caller and body, with or without a prompt

Callers saw BUDGET broken, and a third or more of sound ones refused. Cause: only shared prompt parts were suspects, so a request without a prompt was never related to a crash, and one with a prompt by what sound requests share with it.

The digest of method, target, account and body is now the narrowest suspect of each run, weighed with its prompt parts by one rule: of nearly equal ones the narrowest is found. A part needs different requests, a request several attempts. A plain request whose connection broke off counts as begun.

--- a/snipebridge/fleet/prompts.py
+++ b/snipebridge/fleet/prompts.py
@@ -24,7 +24,9 @@
     for lost in request.lost_replicas:
         crashes.take_loss(lost.replica, now_s - lost.age_s)
     for one in request.suspected_runs:
-        run = PromptRun(one.request, one.service, tuple(one.parts))
+        # An older build reports no digest; then each attempt is a request.
+        digest = one.digest or one.request
+        run = PromptRun(one.request, one.service, tuple(one.parts), digest)
         suspect = CrashSuspect(
             run, one.replica, now_s - one.age_s, one.has_begun
         )
@@ -83,7 +85,7 @@
             _command(
                 found.part,
                 f'{found.crashes} replicas were lost'
-                f' under {found.requests} requests',
+                f' under {found.witnesses} {_witness_name(found.part)}',
             )
             for found in crashes.find(held, known, now_s)
         ]
@@ -117,6 +119,10 @@
     )
 
 
+def _witness_name(part: SharedPart) -> str:
+    return 'attempts' if part.is_request else 'requests'
+
+
 def _now_ms(leadership: Leadership) -> int:
     """Return the time of the log, which never runs backwards."""
     return max(leadership.machine.now_ms, leadership.clock.wall_ms())
--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -1,15 +1,18 @@
-"""Finds the part of a prompt under which replicas crash.
-
-Answers requests with one part in their prompts, no two alike, that come at any
-entry and crash each replica which begins to answer them. Each entry sees few of
-the crashes and few of the runs, so the leader puts together what all of them
-report. A part is found where replicas were lost under it again and again, under
-different requests, and no entry knows a sound run with it. Crashes that a found
-part explains speak against no other: what merely ran beside it is not found.
-
+"""Finds the requests, or the part of their prompts, under which replicas crash.
+
+Answers requests that come at any entry and crash each replica which begins to
+answer them: the same one again and again, or different ones that have a part of
+their prompts in common. Each entry sees few of the crashes and few of the runs,
+so the leader puts together what all of them report. A request is found where
+replicas were lost under it in several attempts, a part where they were lost
+under different requests with it, and no entry knows a sound run. The narrowest
+that explains the crashes is found, and crashes that it explains speak against
+no other: what merely ran beside it, or shares a part with it, is not found.
+
+>>> from snipebridge.policy.prompt_runs import PromptRun
 >>> crashes = PromptCrashes()
 >>> for number in range(3):
-...     run = PromptRun(f'a{number}', 's', ('common', 'bad'))
+...     run = PromptRun(f'a{number}', 's', ('common', 'bad'), f'd{number}')
 ...     crashes.take(CrashSuspect(run, f'r{number}', 0.0, True))
 >>> crashes.find((), (), now_s=0.2), len(crashes.suspected())
 ([], 2)
@@ -25,7 +28,6 @@
     SAME_LOSS_S,
     SOUND_VALID_S,
     CrashSuspect,
-    PromptRun,
     SharedPart,
 )
 
@@ -39,7 +41,9 @@
 KNOWN_THRESHOLD = 1.0
 # A run that had not begun is more likely a bystander.
 _WAITING_WEIGHT = 0.5
-_MIN_REQUESTS = 2
+# Attempts with a request, or requests with a part: one attempt alone may be a
+# bystander that was sent on beside the cause.
+_MIN_WITNESSES = 2
 # Of parts with nearly the same evidence the most specific one is found.
 _CLOSE = 1.0
 # Evidence from which on the entries are asked whether a part is sound.
@@ -59,7 +63,8 @@
 
     part: SharedPart
     crashes: int
-    requests: int
+    # Attempts with a request, or different requests with a part.
+    witnesses: int
 
 
 @dataclass(slots=True)
@@ -74,8 +79,10 @@
 class _Score:
     weight: float = 0.0
     crashes: int = 0
-    requests: set[str] = field(default_factory=set)
-    # The later a part stands in a prompt, the fewer requests share it.
+    # Attempts with a request, or different requests with a part.
+    witnesses: set[str] = field(default_factory=set)
+    # The later a part stands in a prompt, the fewer requests share it, and it
+    # is the request as a whole that the fewest share.
     position: int = 0
 
 
@@ -181,8 +188,8 @@
             for part, score in due.items()
             if score.weight >= heaviest - _CLOSE
         ]
-        part = max(close, key=lambda one: due[one].position)
-        return FoundPart(part, due[part].crashes, len(due[part].requests))
+        part = max(close, key=lambda one: (one.is_request, due[one].position))
+        return FoundPart(part, due[part].crashes, len(due[part].witnesses))
 
     def _scores(
         self, crashes: list[_Crash], now_s: float
@@ -195,9 +202,12 @@
                 score = scores.setdefault(part, _Score())
                 score.weight += max(_weight(one) for one in suspects)
                 score.crashes += 1
-                score.requests.update(one.run.request for one in suspects)
+                score.witnesses.update(
+                    one.run.request if part.is_request else one.run.digest
+                    for one in suspects
+                )
                 score.position = max(
-                    score.position, _position(suspects[0].run, part)
+                    score.position, suspects[0].run.parts.index(part)
                 )
         return scores
 
@@ -248,12 +258,8 @@
 def _is_due(score: _Score, *, is_known: bool) -> bool:
     if is_known:
         return score.weight >= KNOWN_THRESHOLD
-    return score.weight >= THRESHOLD and len(score.requests) >= _MIN_REQUESTS
+    return score.weight >= THRESHOLD and len(score.witnesses) >= _MIN_WITNESSES
 
 
 def _weight(suspect: CrashSuspect) -> float:
     return 1.0 if suspect.has_begun else _WAITING_WEIGHT
-
-
-def _position(run: PromptRun, part: SharedPart) -> int:
-    return run.identities.index(part.identity)
--- a/snipebridge/policy/prompt_runs.py
+++ b/snipebridge/policy/prompt_runs.py
@@ -1,14 +1,14 @@
-"""Recent runs of an entry, to tell which prompts were at a replica's crash.
+"""Recent runs of an entry, to tell which requests were at a replica's crash.
 
-Answers requests with one part in their prompts that crash each replica which
-begins to answer them. Such a crash comes soon after the first token, also where
-the entry dropped the answer meanwhile, and ends every other run there. So a run
-that began shortly before a crash is a suspect, one that broke off before it
-began is a weak one, and a part is sound once a run with it has outlived that
-time.
+Answers requests that crash each replica which begins to answer them, since they
+are what they are or for one part in their prompts. Such a crash comes soon
+after the first token, also where the entry dropped the answer meanwhile, and
+ends every other run there. So a run that began shortly before a crash is a
+suspect, one that broke off before it began is a weak one, and what a run shares
+with others is sound once the run has outlived that time.
 
 >>> runs = PromptRuns()
->>> runs.record_began('r1', PromptRun('a1', 's', ('p',)), now_s=5.0)
+>>> runs.record_began('r1', PromptRun('a1', 's', ('p',), 'd'), now_s=5.0)
 >>> runs.record_lost('r1', lost_s=5.1, now_s=5.2)
 True
 >>> [(one.replica, one.run.request, one.has_begun) for one in runs.suspects(6)]
@@ -35,28 +35,52 @@
 _MAX_RUNS = 4096
 _MAX_SOUND = 8192
 _MAX_SUSPECTS = 64
+# No part of a prompt has a colon.
+_REQUEST_PREFIX = 'request:'
 
 
 @dataclass(slots=True, frozen=True)
 class SharedPart:
-    """A part of prompts to a service that several requests may have."""
+    """What several requests to a service have in common.
+
+    Either a part of their prompts, or all of path, caller and body.
+    """
 
     service: str
     identity: str
 
+    @property
+    def is_request(self) -> bool:
+        """Whether it is a request as a whole, by its digest."""
+        return self.identity.startswith(_REQUEST_PREFIX)
+
+    @property
+    def description(self) -> str:
+        """What a refused caller is told."""
+        if self.is_request:
+            return 'this request'
+        return f'the prompt part {self.identity}'
+
 
 @dataclass(slots=True, frozen=True)
 class PromptRun:
-    """One request at a replica, with its shared parts in order."""
+    """One request at a replica, with what others may share with it."""
 
+    # The caller's id of the attempt.
     request: str
     service: str
+    # The shared parts of its prompt in order, none for a plain request.
     identities: tuple[str, ...]
+    # The same for all requests with the same path, caller and body.
+    digest: str
+    # Whether the head of its answer tells that the run has begun.
+    is_stream: bool = True
 
     @property
     def parts(self) -> tuple[SharedPart, ...]:
-        """The shared parts of the prompt."""
-        return tuple(SharedPart(self.service, one) for one in self.identities)
+        """What it shares with others, the narrowest last."""
+        identities = (*self.identities, f'{_REQUEST_PREFIX}{self.digest}')
+        return tuple(SharedPart(self.service, one) for one in identities)
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,7 +90,7 @@
     run: PromptRun
     replica: str
     lost_s: float
-    # Whether the replica had begun to answer.
+    # Whether the replica had begun to run it.
     has_begun: bool
 
 
@@ -103,8 +127,8 @@
 
     def record_began(self, replica: str, run: PromptRun, now_s: float) -> None:
         """Add a run whose first token has come."""
-        if run.identities:
-            self._runs.append(_RecentRun(run, replica, now_s))
+        self._settle(now_s)
+        self._runs.append(_RecentRun(run, replica, now_s))
 
     def record_cut(self, replica: str, request: str) -> None:
         """Note that a run ended before its answer was complete."""
@@ -117,8 +141,7 @@
         self, replica: str, run: PromptRun, now_s: float
     ) -> None:
         """Add a run whose connection broke off before the first token."""
-        if run.identities:
-            self._unanswered.append(_Unanswered(run, replica, now_s))
+        self._unanswered.append(_Unanswered(run, replica, now_s))
 
     def record_lost(self, replica: str, lost_s: float, now_s: float) -> bool:
         """Note that a replica crashed; tell whether that is new here."""
@@ -131,10 +154,10 @@
         return True
 
     def suspects(self, now_s: float) -> list[CrashSuspect]:
-        """Return the suspects of the last seconds, without sound parts."""
+        """Return the suspects of the last seconds."""
         while self._suspects and now_s - self._suspects[0].lost_s > REPORT_S:
             self._suspects.popleft()
-        return [self._without_sound(one, now_s) for one in self._suspects]
+        return list(self._suspects)
 
     def losses(self, now_s: float) -> dict[str, float]:
         """Return when each replica crashed that was lost lately."""
@@ -163,23 +186,14 @@
             if one.replica == replica and abs(lost_s - one.began_s) <= SUSPECT_S
         ]
         waiting = [
-            CrashSuspect(one.run, replica, lost_s, has_begun=False)
+            CrashSuspect(
+                one.run, replica, lost_s, has_begun=not one.run.is_stream
+            )
             for one in self._unanswered
             if one.replica == replica and abs(lost_s - one.broke_s) <= _BREAK_S
         ]
         return begun + waiting
 
-    def _without_sound(self, suspect: CrashSuspect, now_s: float):
-        identities = tuple(
-            part.identity
-            for part in suspect.run.parts
-            if not self._is_sound(part, now_s)
-        )
-        run = PromptRun(suspect.run.request, suspect.run.service, identities)
-        return CrashSuspect(
-            run, suspect.replica, suspect.lost_s, suspect.has_begun
-        )
-
     def _is_sound(self, part: SharedPart, now_s: float) -> bool:
         sound_s = self._sound_s.get(part)
         return sound_s is not None and now_s - sound_s <= SOUND_VALID_S
--- a/snipebridge/relay/crash_watch.py
+++ b/snipebridge/relay/crash_watch.py
@@ -45,7 +45,7 @@
         """Note that a replica has begun to answer."""
         self._guard.runs.record_began(
             attempt.choice.replica.id,
-            prompt_run(exchange.progress.service, exchange.request),
+            prompt_run(exchange),
             self._clock.monotonic_s(),
         )
 
@@ -68,7 +68,7 @@
             if attempt.head is None:
                 self._guard.runs.record_unanswered(
                     replica.id,
-                    prompt_run(exchange.progress.service, exchange.request),
+                    prompt_run(exchange),
                     now_s,
                 )
             self._start_check(replica, now_s)
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -225,12 +225,10 @@
 
     def _check_quarantine(self) -> None:
         now_s = self._dependencies.clock.monotonic_s()
-        held = self._dependencies.prompts.find_quarantine(
-            self._progress.service, self._request, now_s
-        )
+        held = self._dependencies.prompts.find_quarantine(self._exchange, now_s)
         if held is not None:
             self._fail(
-                f'replicas crash on the prompt part {held.part.identity}',
+                f'replicas crash on {held.part.description}',
                 held.until_s - now_s,
             )
 
--- a/snipebridge/relay/prompt_guard.py
+++ b/snipebridge/relay/prompt_guard.py
@@ -1,14 +1,15 @@
-"""What an entry knows of prompt parts that crash replicas.
+"""What an entry knows of requests and prompt parts that crash replicas.
 
-The leader finds the parts from what all entries report; the entry keeps them
-from replicas, also while it is cut off from control.
+The leader finds them from what all entries report; the entry keeps them from
+replicas, also while it is cut off from control.
 """
 
 from dataclasses import dataclass, field
 
 from snipebridge.logs import log_decision
 from snipebridge.policy.prompt_runs import PromptRun, PromptRuns, SharedPart
-from snipebridge.relay.messages import RelayRequest
+from snipebridge.relay.exchange import RelayExchange
+from snipebridge.routing.tables import RouteKind
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
@@ -36,12 +37,12 @@
     _suspected: list[SharedPart] = field(default_factory=list)
 
     def find_quarantine(
-        self, service: str, request: RelayRequest, now_s: float
+        self, exchange: RelayExchange, now_s: float
     ) -> HeldQuarantine | None:
         """Return the quarantine that a request falls under."""
         if not self._quarantines:
             return None
-        for part in prompt_run(service, request).parts:
+        for part in prompt_run(exchange).parts:
             held = self._quarantines.get(part)
             if held is not None and held.until_s > now_s:
                 return held
@@ -60,6 +61,7 @@
                 request=one.run.request,
                 service=one.run.service,
                 parts=one.run.identities,
+                digest=one.run.digest,
                 has_begun=one.has_begun,
             )
             for one in self.runs.suspects(now_s)
@@ -109,7 +111,13 @@
         return sound
 
 
-def prompt_run(service: str, request: RelayRequest) -> PromptRun:
-    """Return a request as a run of its shared parts."""
-    identities = tuple(part.identity for part in request.shared_parts)
-    return PromptRun(request.attempt_id, service, identities)
+def prompt_run(exchange: RelayExchange) -> PromptRun:
+    """Return a request as a run of what it shares with others."""
+    request = exchange.request
+    return PromptRun(
+        request.attempt_id,
+        exchange.progress.service,
+        tuple(part.identity for part in request.shared_parts),
+        exchange.digest,
+        is_stream=exchange.route.kind is RouteKind.STREAMING,
+    )
--- a/tests/integration/test_prompt_crashes.py
+++ b/tests/integration/test_prompt_crashes.py
@@ -79,7 +79,11 @@
         host = ENTRIES[number % len(ENTRIES)]
         headers = {**CHAT_HEADERS, 'X-Prefix-Hash': prompt}
         answer = await self.system.ask(
-            '/chat/x', host, method='POST', body=b'p', headers=headers
+            '/chat/x',
+            host,
+            method='POST',
+            body=prompt.encode(),
+            headers=headers,
         )
         if part != BAD:
             self.sound.append((sent_s, answer))
--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -92,7 +92,7 @@
         if not up:
             return
         self.number += 1
-        run = PromptRun(f'a{self.number}', 's', identities)
+        run = PromptRun(f'a{self.number}', 's', identities, f'd{self.number}')
         entry = self.rng.randrange(self.entries)
         if self.rng.random() < 0.5:
             draft = self.rng.choice(up)
@@ -194,7 +194,7 @@
 
 def suspect(number, *identities, begun=True):
     """Return a run that a replica of its own was lost under."""
-    run = PromptRun(f'a{number}', 's', identities)
+    run = PromptRun(f'a{number}', 's', identities, f'd{number}')
     return CrashSuspect(run, f'r{number}', 0.0, begun)
 
 
@@ -208,7 +208,7 @@
     """It may be its own part, which no other request has."""
     crashes = PromptCrashes()
     for number in range(4):
-        run = PromptRun('a1', 's', ('bad',))
+        run = PromptRun('a1', 's', ('bad',), 'd1')
         crashes.take(CrashSuspect(run, f'r{number}', 0.0, True))
     assert not found_after_answers(crashes)
 
@@ -236,10 +236,58 @@
     """A crash may follow an answer that was dropped or complete."""
     runs = PromptRuns()
     for number, identity in enumerate(('cut', 'lost', 'sound')):
-        run = PromptRun(f'a{number}', 's', (identity,))
+        run = PromptRun(f'a{number}', 's', (identity,), f'd{number}')
         runs.record_began(f'r{number}', run, 0.0)
     runs.record_cut('r0', 'a0')
     runs.record_lost('r1', 0.5, 0.6)
     parts = [SharedPart('s', one) for one in ('cut', 'lost', 'sound')]
     assert not runs.sound_among(parts, 1.0)
     assert runs.sound_among(parts, SURVIVAL_S) == parts[2:]
+
+
+def run_of(digest, *identities, attempt='a1', is_stream=True):
+    """Return a run of a request."""
+    return PromptRun(attempt, 's', identities, digest, is_stream=is_stream)
+
+
+def lose(crashes, number, *runs, begun=True):
+    """Report that a replica was lost under some runs."""
+    for run in runs:
+        crashes.take(CrashSuspect(run, f'r{number}', number * 0.2, begun))
+
+
+def test_request_without_prompt_parts_is_found():
+    """It comes again with the same content in several attempts."""
+    crashes = PromptCrashes()
+    for number in range(3):
+        lose(crashes, number, run_of('same', attempt=f'a{number}'))
+    assert found_after_answers(crashes) == ['request:same']
+
+
+def test_part_that_a_deadly_request_shares_with_sound_ones_is_not_found():
+    """Sound ones with the part were at the same replicas."""
+    crashes = PromptCrashes()
+    for number in range(4):
+        deadly = run_of('same', 'common', attempt=f'a{number}')
+        bystander = run_of(f'b{number}', 'common', attempt=f'b{number}')
+        lose(crashes, number, deadly, bystander)
+    assert found_after_answers(crashes) == ['request:same']
+
+
+def test_part_is_found_though_each_request_with_it_comes_once_more():
+    """A caller repeats its request, so each has two attempts."""
+    crashes = PromptCrashes()
+    for number in range(8):
+        deadly = run_of(f'd{number // 2}', 'bad', attempt=f'a{number}')
+        lose(crashes, number, deadly)
+    assert found_after_answers(crashes) == ['bad']
+
+
+def test_plain_request_that_was_not_answered_counts_as_begun():
+    """Its replica sends nothing before the answer."""
+    runs = PromptRuns()
+    for number, is_stream in enumerate((True, False)):
+        run = run_of(f'd{number}', is_stream=is_stream)
+        runs.record_unanswered('r1', run, 1.0)
+    runs.record_lost('r1', 1.0, 1.0)
+    assert [one.has_begun for one in runs.suspects(1.0)] == [False, True]
--- a/tests/relay/test_outcomes.py
+++ b/tests/relay/test_outcomes.py
@@ -64,6 +64,7 @@
     def stream(self, software, intervals_s):
         """Receive one stream, its events after the given intervals."""
         exchange = SimpleNamespace(
+            digest='d1',
             request=RelayRequest('POST', '/', '/', 'h', [], b'', 0.0),
             route=SimpleNamespace(name='r'),
             progress=SimpleNamespace(last_event_id='', service='s'),
