--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -25,6 +25,7 @@
 # The users' bound, from the fifth crash on.
 CONNECTIVITY_S = 3.0
 BAD = SharedPart('s', 'bad')
+SAME = SharedPart('s', 'request:same')
 
 
 @dataclass
@@ -261,7 +262,7 @@
     crashes = PromptCrashes()
     for number in range(3):
         lose(crashes, number, run_of('same', attempt=f'a{number}'))
-    assert found_after_answers(crashes) == ['request:same']
+    assert found_after_answers(crashes) == [SAME]
 
 
 def test_part_that_a_deadly_request_shares_with_sound_ones_is_not_found():
@@ -271,7 +272,7 @@
         deadly = run_of('same', 'common', attempt=f'a{number}')
         bystander = run_of(f'b{number}', 'common', attempt=f'b{number}')
         lose(crashes, number, deadly, bystander)
-    assert found_after_answers(crashes) == ['request:same']
+    assert found_after_answers(crashes) == [SAME]
 
 
 def test_part_is_found_though_each_request_with_it_comes_once_more():
@@ -280,7 +281,7 @@
     for number in range(8):
         deadly = run_of(f'd{number // 2}', 'bad', attempt=f'a{number}')
         lose(crashes, number, deadly)
-    assert found_after_answers(crashes) == ['bad']
+    assert found_after_answers(crashes) == [BAD]
 
 
 def test_plain_request_that_was_not_answered_counts_as_begun():
