Show a request that one sound run frees, and one held in place of it

The simulation of entries, replicas and a leader gets requests that are deadly in a share of their runs, runs that go on elsewhere together, and a hot key.

--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -36,6 +36,9 @@
     run: PromptRun
     began_s: float
     is_waiting: bool = True
+    is_bad: bool = False
+    is_deadly: bool = False
+    tries: int = 1
 
 
 @dataclass
@@ -46,6 +49,14 @@
     replicas: int
     seed: int
     requests_per_s: float = 40.0
+    # In which share of its runs a bad request crashes its replica.
+    deadly_share: float = 1.0
+    # All bad requests are one: the same path, caller and body.
+    is_same: bool = False
+    # Sound ones of one kind, a hot key, that come beside the others.
+    hot_per_s: float = 0.0
+    # What broke off goes on elsewhere, all of it at the same replica.
+    resumes: bool = False
     now_s: float = 0.0
     found: list = field(default_factory=list)
     found_s: float = 0.0
@@ -60,6 +71,8 @@
         self.away_until_s = [0.0 for _ in self.running]
         self.started = [0 for _ in self.running]
         self.number = 0
+        # Bad requests that reached a replica.
+        self.bad_arrivals_s = []
 
     def play(self, until_s, bad_per_s=0.0, crashes_per_s=0.0):
         """Send requests and end replicas until a moment."""
@@ -68,15 +81,21 @@
             for _ in range(self._count(self.requests_per_s)):
                 subject = int(self.rng.paretovariate(0.8))
                 self._begin('common', f'subject{subject}')
+            for _ in range(self._count(self.hot_per_s)):
+                self._begin('common', 'hot', digest='hot')
             for _ in range(self._count(bad_per_s)):
-                if not self.found:
-                    self._begin('common', 'bad')
+                self._begin_bad()
             for _ in range(self._count(crashes_per_s)):
                 self._end(self.rng.randrange(self.replicas))
             for replica in range(self.replicas):
                 self._serve(replica)
             self._exchange()
 
+    def crash(self, *replicas):
+        """Let some replicas end at this moment."""
+        for replica in replicas:
+            self._end(replica)
+
     def name(self, replica):
         """Return the id of a replica, another one after each start."""
         return f'r{replica}.{self.started[replica]}'
@@ -84,26 +103,53 @@
     def _count(self, per_s):
         return int(per_s * STEP_S + self.rng.random())
 
-    def _begin(self, *identities):
-        up = [
+    def held(self):
+        """Return what is kept from replicas now."""
+        return [one.part for one in self.found]
+
+    def _begin_bad(self):
+        digest = 'same' if self.is_same else ''
+        parts = {BAD, SAME} if self.is_same else {BAD}
+        if parts.isdisjoint(self.held()):
+            self.bad_arrivals_s.append(self.now_s)
+            name = 'own' if self.is_same else 'bad'
+            self._begin('common', name, digest=digest, is_bad=True)
+
+    def _up(self):
+        return [
             one
             for one in range(self.replicas)
             if self.away_until_s[one] <= self.now_s
         ]
+
+    def _begin(self, *identities, digest='', is_bad=False):
+        up = self._up()
         if not up:
             return
         self.number += 1
-        run = PromptRun(f'a{self.number}', 's', identities, f'd{self.number}')
+        run = PromptRun(
+            f'a{self.number}', 's', identities, digest or f'd{self.number}'
+        )
         entry = self.rng.randrange(self.entries)
         if self.rng.random() < 0.5:
             draft = self.rng.choice(up)
-            self._run(entry, draft, run, self.now_s)
+            self._run(entry, draft, run, self.now_s, is_bad=is_bad)
             self.runs[entry].record_cut(self.name(draft), run.request)
         wait_s = self.rng.choice((0.0, 0.0, 0.5))
-        self._run(entry, self.rng.choice(up), run, self.now_s + wait_s)
+        self._run(
+            entry, self.rng.choice(up), run, self.now_s + wait_s, is_bad=is_bad
+        )
 
-    def _run(self, entry, replica, run, begins_s):
-        one = Running(entry, run, begins_s)
+    def _run(self, entry, replica, run, begins_s, *, is_bad=False, tries=1):
+        is_deadly = is_bad and self.rng.random() < self.deadly_share
+        one = Running(
+            entry,
+            run,
+            begins_s,
+            is_bad=is_bad,
+            is_deadly=is_deadly,
+            tries=tries,
+        )
         self.running[replica].append(one)
         if begins_s <= self.now_s:
             self._start(replica, one)
@@ -120,8 +166,7 @@
             if one.is_waiting and one.began_s <= self.now_s:
                 self._start(replica, one)
         if any(
-            'bad' in one.run.identities and self.now_s - one.began_s >= 0.1
-            for one in running
+            one.is_deadly and self.now_s - one.began_s >= 0.1 for one in running
         ):
             self._end(replica)
             return
@@ -143,9 +188,29 @@
         self.runs[self.rng.randrange(self.entries)].record_lost(
             name, self.now_s, self.now_s
         )
+        broken = self.running[replica]
         self.running[replica] = []
         self.away_until_s[replica] = self.now_s + 2.0
         self.started[replica] += 1
+        if self.resumes:
+            self._resume(broken)
+
+    def _resume(self, broken):
+        up = self._up()
+        for one in broken if up else ():
+            is_held = not set(one.run.parts).isdisjoint(self.held())
+            if one.tries >= 3 or is_held:
+                continue
+            if one.is_bad:
+                self.bad_arrivals_s.append(self.now_s)
+            self._run(
+                one.entry,
+                up[0],
+                one.run,
+                self.now_s,
+                is_bad=one.is_bad,
+                tries=one.tries + 1,
+            )
 
     def _exchange(self):
         leader = self.leader
@@ -292,3 +357,65 @@
         runs.record_unanswered('r1', run, 1.0)
     runs.record_lost('r1', 1.0, 1.0)
     assert [one.has_begun for one in runs.suspects(1.0)] == [False, True]
+
+
+def allowed_later_s(fleet):
+    """Return from when on three more bad requests may reach a replica."""
+    return fleet.crashes_s[2] + CONNECTIVITY_S
+
+
+@pytest.mark.parametrize(
+    ('entries', 'replicas'), [(9, 5), (191, 39), (340, 90)]
+)
+@pytest.mark.parametrize('deadly_share', [0.5, 0.6, 1.0])
+@pytest.mark.parametrize('seed', range(2))
+def test_sound_runs_now_and_then_do_not_free_a_request(
+    entries, replicas, deadly_share, seed
+):
+    """The same request crashes replicas in a share of its runs only."""
+    fleet = Fleet(
+        entries,
+        replicas,
+        seed,
+        requests_per_s=replicas * 4.0,
+        deadly_share=deadly_share,
+        is_same=True,
+    )
+    fleet.play(4.0)
+    fleet.play(24.0, bad_per_s=4.0)
+    late = [one for one in fleet.bad_arrivals_s if one > allowed_later_s(fleet)]
+    assert len(late) <= 3
+    assert fleet.held() == [SAME]
+
+
+@pytest.mark.parametrize(('entries', 'replicas'), [(9, 5), (7, 6), (61, 45)])
+@pytest.mark.parametrize('seed', range(4))
+def test_bystanders_that_are_sent_on_with_a_request_are_not_held(
+    entries, replicas, seed
+):
+    """They begin together with it at the next replica, and the one after."""
+    fleet = Fleet(
+        entries,
+        replicas,
+        seed,
+        requests_per_s=replicas * 4.0,
+        is_same=True,
+        resumes=True,
+    )
+    fleet.play(4.0)
+    fleet.play(24.0, bad_per_s=4.0)
+    late = [one for one in fleet.bad_arrivals_s if one > allowed_later_s(fleet)]
+    assert len(late) <= 3
+    assert fleet.held() == [SAME]
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('is_at_once', [False, True])
+def test_hot_key_beside_crashes_of_replicas_is_not_held(seed, is_at_once):
+    """Replicas crash by themselves, one after the other or three at once."""
+    fleet = Fleet(9, 9, seed, requests_per_s=36.0, hot_per_s=20.0)
+    fleet.play(5.0)
+    if is_at_once:
+        fleet.crash(0, 1, 2)
+    fleet.play(35.0, crashes_per_s=0.6)
+    assert not fleet.found
