Weigh sound runs against crashes in place of taking one for proof

Callers saw a request, or a part, that is deadly in some of its runs sent on and on, and bystanders refused in its place. Cause: one observation was proof.

The leader asks for the number of sound runs before and after the first crash, and suspects what replicas were lost under in 0.3 of its runs (a part: 0.4, and in 0.4 of the crashes meanwhile, since where replicas crash by themselves some part is beside several). Of close suspects the narrowest explains the crashes, also while it is not ready. Replicas lost within 30 ms are one crash.

The two tests that asked for sound parts by name count runs now; they check the same, in the same order.

--- a/snipebridge/fleet/prompts.py
+++ b/snipebridge/fleet/prompts.py
@@ -4,7 +4,12 @@
 from snipebridge.controllers.prompt_quarantines import PromptQuarantine
 from snipebridge.logs import log_decision
 from snipebridge.policy.prompt_crashes import PromptCrashes
-from snipebridge.policy.prompt_runs import CrashSuspect, PromptRun, SharedPart
+from snipebridge.policy.prompt_runs import (
+    CrashSuspect,
+    PromptRun,
+    SharedPart,
+    SoundRuns,
+)
 from snipebridge.rpc.commands_pb2 import Command, PromptQuarantineCommand
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
@@ -31,10 +36,11 @@
             run, one.replica, now_s - one.age_s, one.has_begun
         )
         crashes.take(suspect)
-    crashes.take_sound(
-        (SharedPart(one.service, one.part) for one in request.sound_parts),
-        now_s,
-    )
+    for one in request.sound_parts:
+        runs = SoundRuns(before=one.sound_before, after=one.sound_after)
+        crashes.take_sound(
+            request.entry, SharedPart(one.service, one.part), runs
+        )
 
 
 def add_prompt_state(
@@ -47,8 +53,12 @@
         for replica, lost_s in crashes.recent_losses(now_s)
     )
     reply.suspected_parts.extend(
-        PromptPartName(service=one.service, part=one.identity)
-        for one in crashes.suspected()
+        PromptPartName(
+            service=one.part.service,
+            part=one.part.identity,
+            first_lost_age_s=now_s - one.first_lost_s,
+        )
+        for one in crashes.questions()
     )
     now_ms = _now_ms(leadership)
     reply.quarantined_parts.extend(
@@ -64,11 +74,7 @@
 class PromptDuty:
     """Decides which parts are kept from replicas, and which no longer."""
 
-    __slots__ = ('_held_since_s',)
-
-    def __init__(self) -> None:
-        """Start without a quarantine."""
-        self._held_since_s: dict[SharedPart, float] = {}
+    __slots__ = ()
 
     def commands(self, leadership: Leadership) -> list[Command]:
         """Return the quarantines that are due, and those to be lifted."""
@@ -77,9 +83,6 @@
         quarantines = leadership.machine.prompt_quarantines
         held = [_part(one) for one in quarantines.in_force(now_ms)]
         known = [_part(one) for one in quarantines.expired(now_ms)]
-        self._held_since_s = {
-            part: self._held_since_s.get(part, now_s) for part in held
-        }
         crashes = leadership.routed.crashes
         due = [
             _command(
@@ -90,9 +93,9 @@
             for found in crashes.find(held, known, now_s)
         ]
         lifted = [
-            _command(part, 'a run with it was sound', lifted=True)
-            for part, since_s in self._held_since_s.items()
-            if crashes.is_sound_since(part, since_s)
+            _command(part, 'many runs with it were sound', lifted=True)
+            for part in held
+            if crashes.is_sound(part)
         ]
         return due + lifted
 
--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -5,30 +5,32 @@
 their prompts in common. Each entry sees few of the crashes and few of the runs,
 so the leader puts together what all of them report. A request is found where
 replicas were lost under it in several attempts, a part where they were lost
-under different requests with it, and no entry knows a sound run. The narrowest
-that explains the crashes is found, and crashes that it explains speak against
-no other: what merely ran beside it, or shares a part with it, is not found.
+under different requests with it, and in both cases under a good share of all
+runs with it: one sound run is no proof, since it may crash a replica in some of
+its runs only, and many are. The narrowest that explains the crashes is found,
+and crashes that it explains speak against no other: what merely ran beside it,
+or shares a part with it, is not found.
 
 >>> from snipebridge.policy.prompt_runs import PromptRun
 >>> crashes = PromptCrashes()
 >>> for number in range(3):
 ...     run = PromptRun(f'a{number}', 's', ('common', 'bad'), f'd{number}')
-...     crashes.take(CrashSuspect(run, f'r{number}', 0.0, True))
->>> crashes.find((), (), now_s=0.2), len(crashes.suspected())
+...     crashes.take(CrashSuspect(run, f'r{number}', number, True))
+>>> crashes.find((), (), now_s=2.2), len(crashes.questions())
 ([], 2)
->>> crashes.take_sound([SharedPart('s', 'common')], now_s=0.3)
->>> [one.part.identity for one in crashes.find((), (), now_s=1.3)]
+>>> crashes.take_sound('e1', SharedPart('s', 'common'), SoundRuns(after=20))
+>>> [one.part.identity for one in crashes.find((), (), now_s=3.3)]
 ['bad']
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from snipebridge.policy.prompt_runs import (
     SAME_LOSS_S,
-    SOUND_VALID_S,
     CrashSuspect,
     SharedPart,
+    SoundRuns,
 )
 
 # Crashes that are due to one part may lie this far apart.
@@ -39,13 +41,27 @@
 THRESHOLD = 3.0
 # A part that was found before is found again at once.
 KNOWN_THRESHOLD = 1.0
+# Replicas lost at one moment have lost power together: that is one crash.
+_ONE_MOMENT_S = 0.03
+# Of the crashes from the first to the last under a part, it explains this share
+# at least: where replicas crash by themselves, some part is beside several.
+_MIN_EXPLAINED_SHARE = 0.4
 # A run that had not begun is more likely a bystander.
 _WAITING_WEIGHT = 0.5
 # Attempts with a request, or requests with a part: one attempt alone may be a
 # bystander that was sent on beside the cause.
 _MIN_WITNESSES = 2
-# Of parts with nearly the same evidence the most specific one is found.
+# Share of the runs under which replicas were lost, from which on a request or a
+# part may be the cause. A part found wrongly costs more callers.
+_MIN_REQUEST_SHARE = 0.3
+_MIN_PART_SHARE = 0.4
+# Sound runs from before the first crash that count at most: requests and parts
+# may turn deadly while they are in use.
+_MAX_REQUESTS_BEFORE = 8
+_MAX_PARTS_BEFORE = 20
+# Of parts with nearly the same evidence the narrowest one is found.
 _CLOSE = 1.0
+_CLOSE_SHARE = 0.25
 # Evidence from which on the entries are asked whether a part is sound.
 _ASK_WEIGHT = 2.0
 # They have answered by then: a heartbeat brings the question, and the next one,
@@ -77,23 +93,51 @@
 
 @dataclass(slots=True)
 class _Score:
+    part: SharedPart
     weight: float = 0.0
     crashes: int = 0
     # Attempts with a request, or different requests with a part.
     witnesses: set[str] = field(default_factory=set)
+    first_lost_s: float = float('inf')
+    last_lost_s: float = float('-inf')
+    last_weight: float = 0.0
     # The later a part stands in a prompt, the fewer requests share it, and it
     # is the request as a whole that the fewest share.
     position: int = 0
 
+    @property
+    def count(self) -> int:
+        """How many different witnesses there are."""
+        return len(self.witnesses)
+
+    def add(self, lost_s: float, weight: float) -> None:
+        """Add a crash, in the order of time."""
+        self.first_lost_s = min(self.first_lost_s, lost_s)
+        self.crashes += 1
+        if lost_s - self.last_lost_s > _ONE_MOMENT_S:
+            self.last_lost_s = lost_s
+            self.last_weight = 0.0
+        self.weight += max(0.0, weight - self.last_weight)
+        self.last_weight = max(weight, self.last_weight)
+
+
+@dataclass(slots=True, frozen=True)
+class Question:
+    """Asks the entries for sound runs with a part around its first crash."""
+
+    part: SharedPart
+    first_lost_s: float
+    asked_s: float
+
 
 @dataclass(slots=True)
 class PromptCrashes:
     """Lost replicas with the runs that all entries report of them."""
 
     _crashes: list[_Crash] = field(default_factory=list)
-    _sound_s: dict[SharedPart, float] = field(default_factory=dict)
-    # When the entries were first asked about a part.
-    _asked_s: dict[SharedPart, float] = field(default_factory=dict)
+    # What each entry told last, by part.
+    _sound: dict[SharedPart, dict[str, SoundRuns]] = field(default_factory=dict)
+    _questions: dict[SharedPart, Question] = field(default_factory=dict)
 
     def take_loss(self, replica: str, lost_s: float) -> None:
         """Note that a replica was lost at a moment of this clock."""
@@ -106,10 +150,10 @@
         if known is None or suspect.has_begun >= known.has_begun:
             crash.suspects[suspect.run.request] = suspect
 
-    def take_sound(self, parts: Iterable[SharedPart], now_s: float) -> None:
-        """Note parts that an entry knows to be sound."""
-        for part in parts:
-            self._sound_s[part] = now_s
+    def take_sound(self, entry: str, part: SharedPart, runs: SoundRuns) -> None:
+        """Note how many runs with a part were sound at an entry."""
+        if part in self._questions:
+            self._sound.setdefault(part, {})[entry] = runs
 
     def recent_losses(self, now_s: float) -> list[tuple[str, float]]:
         """Return the replicas lost lately, and when."""
@@ -119,9 +163,9 @@
             if now_s - crash.lost_s <= TELL_S
         ]
 
-    def suspected(self) -> list[SharedPart]:
-        """Return the parts of which the entries should tell if sound."""
-        return list(self._asked_s)
+    def questions(self) -> list[Question]:
+        """Return the parts of which the entries should tell sound runs."""
+        return list(self._questions.values())
 
     def find(
         self,
@@ -135,84 +179,83 @@
         found before.
         """
         self._discard_old(now_s)
+        self._ask(known, now_s)
         crashes = _without(self._crashes, quarantined)
-        scores = self._scores(crashes, now_s)
-        self._ask(scores, known, now_s)
         found: list[FoundPart] = []
-        best = self._heaviest(scores, known, now_s)
+        best = self._best(crashes, known)
         while best is not None:
-            found.append(best)
+            if self._is_ready(best, known, now_s):
+                found.append(FoundPart(best.part, best.crashes, best.count))
+            # What a suspect explains that is not ready speaks against no
+            # wider one meanwhile.
             crashes = _without(crashes, (best.part,))
-            scores = self._scores(crashes, now_s)
-            best = self._heaviest(scores, known, now_s)
+            best = self._best(crashes, known)
         return found
 
-    def is_sound_since(self, part: SharedPart, moment_s: float) -> bool:
-        """Tell whether a part was told to be sound after a moment."""
-        return self._sound_s.get(part, float('-inf')) > moment_s
+    def is_sound(self, part: SharedPart) -> bool:
+        """Tell whether too many runs with a part were sound to suspect it."""
+        score = _scores(self._crashes).get(part)
+        return score is not None and not self._may_be_cause(part, score)
 
-    def _ask(
-        self,
-        scores: dict[SharedPart, _Score],
-        known: Collection[SharedPart],
-        now_s: float,
-    ) -> None:
-        weights = {
-            part: score.weight
-            for part, score in scores.items()
+    def _ask(self, known: Collection[SharedPart], now_s: float) -> None:
+        scores = {
+            part: score
+            for part, score in _scores(self._crashes).items()
             if score.weight >= _ASK_WEIGHT or part in known
         }
-        asked = sorted(weights, key=weights.__getitem__, reverse=True)
-        self._asked_s = {
-            part: self._asked_s.get(part, now_s)
-            for part in asked[:_MAX_SUSPECTED]
+        heaviest = sorted(
+            scores, key=lambda one: scores[one].weight, reverse=True
+        )
+        asked_s = {one.part: one.asked_s for one in self.questions()}
+        self._questions = {
+            part: Question(
+                part, scores[part].first_lost_s, asked_s.get(part, now_s)
+            )
+            for part in heaviest[:_MAX_SUSPECTED]
         }
-
-    def _heaviest(
-        self,
-        scores: dict[SharedPart, _Score],
-        known: Collection[SharedPart],
-        now_s: float,
-    ) -> FoundPart | None:
-        due = {
-            part: score
-            for part, score in scores.items()
-            if _is_due(score, is_known=part in known)
-            and now_s - self._asked_s.get(part, now_s) >= ANSWER_S
+        self._sound = {
+            part: runs
+            for part, runs in self._sound.items()
+            if part in self._questions
         }
-        if not due:
-            return None
-        heaviest = max(score.weight for score in due.values())
-        close = [
-            part
-            for part, score in due.items()
-            if score.weight >= heaviest - _CLOSE
+
+    def _best(
+        self, crashes: list[_Crash], known: Collection[SharedPart]
+    ) -> _Score | None:
+        """Return the narrowest suspect of those with the most evidence."""
+        suspects = [
+            score
+            for part, score in _scores(crashes).items()
+            if score.weight >= _threshold(part, known)
+            and self._may_be_cause(part, score)
+            and (part.is_request or _explains_enough(score, crashes))
         ]
-        part = max(close, key=lambda one: (one.is_request, due[one].position))
-        return FoundPart(part, due[part].crashes, len(due[part].witnesses))
-
-    def _scores(
-        self, crashes: list[_Crash], now_s: float
-    ) -> dict[SharedPart, _Score]:
-        scores: dict[SharedPart, _Score] = {}
-        for crash in crashes:
-            for part, suspects in _by_part(crash).items():
-                if self._is_sound(part, now_s):
-                    continue
-                score = scores.setdefault(part, _Score())
-                score.weight += max(_weight(one) for one in suspects)
-                score.crashes += 1
-                score.witnesses.update(
-                    one.run.request if part.is_request else one.run.digest
-                    for one in suspects
-                )
-                score.position = max(
-                    score.position, suspects[0].run.parts.index(part)
-                )
-        return scores
-
-    def _is_sound(self, part: SharedPart, now_s: float) -> bool:
-        return now_s - self._sound_s.get(part, float('-inf')) <= SOUND_VALID_S
+        if not suspects:
+            return None
+        heaviest = max(score.weight for score in suspects)
+        least = heaviest - max(_CLOSE, _CLOSE_SHARE * heaviest)
+        close = [score for score in suspects if score.weight >= least]
+        return max(close, key=_narrowness)
+
+    def _is_ready(
+        self, score: _Score, known: Collection[SharedPart], now_s: float
+    ) -> bool:
+        question = self._questions.get(score.part)
+        is_answered = (
+            question is not None and now_s - question.asked_s >= ANSWER_S
+        )
+        return is_answered and (
+            score.part in known or score.count >= _MIN_WITNESSES
+        )
+
+    def _may_be_cause(self, part: SharedPart, score: _Score) -> bool:
+        """Tell whether replicas were lost under enough of its runs."""
+        told = self._sound.get(part, {}).values()
+        limit = _MAX_REQUESTS_BEFORE if part.is_request else _MAX_PARTS_BEFORE
+        before = min(limit, sum(one.before for one in told))
+        runs = score.weight + before + sum(one.after for one in told)
+        share = _MIN_REQUEST_SHARE if part.is_request else _MIN_PART_SHARE
+        return score.weight >= share * runs
 
     def _crash(self, replica: str, lost_s: float) -> _Crash:
         for crash in self._crashes:
@@ -229,11 +272,22 @@
             for crash in self._crashes[-_MAX_CRASHES:]
             if now_s - crash.lost_s <= WINDOW_S
         ]
-        self._sound_s = {
-            part: sound_s
-            for part, sound_s in self._sound_s.items()
-            if now_s - sound_s <= SOUND_VALID_S
-        }
+
+
+def _scores(crashes: list[_Crash]) -> dict[SharedPart, _Score]:
+    scores: dict[SharedPart, _Score] = {}
+    for crash in sorted(crashes, key=lambda one: one.lost_s):
+        for part, suspects in _by_part(crash).items():
+            score = scores.setdefault(part, _Score(part))
+            score.add(crash.lost_s, max(_weight(one) for one in suspects))
+            score.witnesses.update(
+                one.run.request if part.is_request else one.run.digest
+                for one in suspects
+            )
+            score.position = max(
+                score.position, suspects[0].run.parts.index(part)
+            )
+    return scores
 
 
 def _by_part(crash: _Crash) -> dict[SharedPart, list[CrashSuspect]]:
@@ -255,10 +309,21 @@
     ]
 
 
-def _is_due(score: _Score, *, is_known: bool) -> bool:
-    if is_known:
-        return score.weight >= KNOWN_THRESHOLD
-    return score.weight >= THRESHOLD and len(score.witnesses) >= _MIN_WITNESSES
+def _threshold(part: SharedPart, known: Collection[SharedPart]) -> float:
+    return KNOWN_THRESHOLD if part in known else THRESHOLD
+
+
+def _narrowness(score: _Score) -> tuple[bool, int, float, int]:
+    """Return a key that orders close suspects: by width, then by evidence."""
+    position = 0 if score.part.is_request else score.position
+    return score.part.is_request, position, score.weight, score.count
+
+
+def _explains_enough(score: _Score, crashes: list[_Crash]) -> bool:
+    meanwhile = sum(
+        score.first_lost_s <= one.lost_s <= score.last_lost_s for one in crashes
+    )
+    return score.crashes >= _MIN_EXPLAINED_SHARE * meanwhile
 
 
 def _weight(suspect: CrashSuspect) -> float:
--- a/snipebridge/policy/prompt_runs.py
+++ b/snipebridge/policy/prompt_runs.py
@@ -4,8 +4,9 @@
 are what they are or for one part in their prompts. Such a crash comes soon
 after the first token, also where the entry dropped the answer meanwhile, and
 ends every other run there. So a run that began shortly before a crash is a
-suspect, one that broke off before it began is a weak one, and what a run shares
-with others is sound once the run has outlived that time.
+suspect, one that broke off before it began is a weak one, and a run that has
+outlived that time was sound: it speaks for all that it has in common with
+others.
 
 >>> runs = PromptRuns()
 >>> runs.record_began('r1', PromptRun('a1', 's', ('p',), 'd'), now_s=5.0)
@@ -15,17 +16,17 @@
 [('r1', 'a1', True)]
 """
 
+from bisect import bisect_left
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-# How long after its first token a prompt may crash a replica.
+# How long after its first token a request may crash a replica.
 SUSPECT_S = 1.0
-# A part whose run lasted this long is sound, unless its replica is lost: the
-# loss may become known by way of the leader only.
-SURVIVAL_S = 2.0
-# A part that was sound is no suspect for this long.
-SOUND_VALID_S = 60.0
+# A run that lasted this long was sound. An entry that dropped the answer may
+# learn of the loss later, so such runs never count as sound.
+SURVIVAL_S = 1.2
+# How long before the first crash a sound run still counts.
+SOUND_BEFORE_S = 60.0
 # Suspects are reported for this long, so that a new leader gets them too.
 REPORT_S = 10.0
 # Two losses of one replica closer together are the same.
@@ -33,7 +34,8 @@
 # A run that broke off this close to a loss was ended by it.
 _BREAK_S = 0.5
 _MAX_RUNS = 4096
-_MAX_SOUND = 8192
+_MAX_SOUND = 4096
+_MAX_SOUND_TIMES = 16
 _MAX_SUSPECTS = 64
 # No part of a prompt has a colon.
 _REQUEST_PREFIX = 'request:'
@@ -94,6 +96,14 @@
     has_begun: bool
 
 
+@dataclass(slots=True, frozen=True)
+class SoundRuns:
+    """How many runs with a part were sound, before and after its first crash."""
+
+    before: int = 0
+    after: int = 0
+
+
 @dataclass(slots=True)
 class _RecentRun:
     run: PromptRun
@@ -111,7 +121,7 @@
 
 @dataclass(slots=True)
 class PromptRuns:
-    """The runs of the last seconds, lost replicas, and sound parts."""
+    """The runs of the last seconds, lost replicas, and sound runs."""
 
     _runs: deque[_RecentRun] = field(
         default_factory=lambda: deque(maxlen=_MAX_RUNS)
@@ -123,7 +133,8 @@
     _suspects: deque[CrashSuspect] = field(
         default_factory=lambda: deque(maxlen=_MAX_SUSPECTS)
     )
-    _sound_s: dict[SharedPart, float] = field(default_factory=dict)
+    # When the last sound runs with a part began.
+    _sound_s: dict[SharedPart, list[float]] = field(default_factory=dict)
 
     def record_began(self, replica: str, run: PromptRun, now_s: float) -> None:
         """Add a run whose first token has come."""
@@ -146,13 +157,17 @@
     def record_lost(self, replica: str, lost_s: float, now_s: float) -> bool:
         """Note that a replica crashed; tell whether that is new here."""
         self._settle(now_s)
-        known_s = self._lost_s.get(replica)
-        if known_s is not None and abs(lost_s - known_s) < SAME_LOSS_S:
+        if self.was_lost_near(replica, lost_s):
             return False
         self._lost_s[replica] = lost_s
         self._suspects.extend(self._suspects_of(replica, lost_s))
         return True
 
+    def was_lost_near(self, replica: str, moment_s: float) -> bool:
+        """Tell whether a replica is known to have crashed about then."""
+        known_s = self._lost_s.get(replica)
+        return known_s is not None and abs(moment_s - known_s) < SAME_LOSS_S
+
     def suspects(self, now_s: float) -> list[CrashSuspect]:
         """Return the suspects of the last seconds."""
         while self._suspects and now_s - self._suspects[0].lost_s > REPORT_S:
@@ -168,16 +183,18 @@
         }
         return self._lost_s
 
-    def sound_among(
-        self, parts: Iterable[SharedPart], now_s: float
-    ) -> list[SharedPart]:
-        """Return those of some parts that have lately been sound here."""
+    def sound_runs(
+        self, part: SharedPart, since_s: float, now_s: float
+    ) -> SoundRuns:
+        """Count the sound runs with a part that began around a moment."""
         self._settle(now_s)
-        return [one for one in parts if self._is_sound(one, now_s)]
-
-    def is_sound_since(self, part: SharedPart, moment_s: float) -> bool:
-        """Tell whether a part was found sound here after a moment."""
-        return self._sound_s.get(part, float('-inf')) > moment_s
+        times_s = self._sound_s.get(part, [])
+        first_after = bisect_left(times_s, since_s)
+        first_before = bisect_left(times_s, since_s - SOUND_BEFORE_S)
+        return SoundRuns(
+            after=len(times_s) - first_after,
+            before=first_after - first_before,
+        )
 
     def _suspects_of(self, replica: str, lost_s: float) -> list[CrashSuspect]:
         begun = [
@@ -194,18 +211,15 @@
         ]
         return begun + waiting
 
-    def _is_sound(self, part: SharedPart, now_s: float) -> bool:
-        sound_s = self._sound_s.get(part)
-        return sound_s is not None and now_s - sound_s <= SOUND_VALID_S
-
     def _settle(self, now_s: float) -> None:
-        """Take the parts of runs that have outlived the danger for sound."""
+        """Count the runs that have outlived the danger as sound."""
         while self._runs and now_s - self._runs[0].began_s >= SURVIVAL_S:
             recent = self._runs.popleft()
             if not (recent.was_cut or self._was_lost_after(recent)):
                 for part in recent.run.parts:
-                    self._sound_s.pop(part, None)
-                    self._sound_s[part] = now_s
+                    times_s = self._sound_s.pop(part, [])
+                    times_s.append(recent.began_s)
+                    self._sound_s[part] = times_s[-_MAX_SOUND_TIMES:]
         while len(self._sound_s) > _MAX_SOUND:
             self._sound_s.pop(next(iter(self._sound_s)))
         while (
--- a/snipebridge/relay/prompt_guard.py
+++ b/snipebridge/relay/prompt_guard.py
@@ -34,7 +34,8 @@
 
     runs: PromptRuns = field(default_factory=PromptRuns)
     _quarantines: dict[SharedPart, HeldQuarantine] = field(default_factory=dict)
-    _suspected: list[SharedPart] = field(default_factory=list)
+    # When the first replica was lost under the parts that the leader asks of.
+    _first_lost_s: dict[SharedPart, float] = field(default_factory=dict)
 
     def find_quarantine(
         self, exchange: RelayExchange, now_s: float
@@ -66,10 +67,7 @@
             )
             for one in self.runs.suspects(now_s)
         )
-        request.sound_parts.extend(
-            PromptPartName(service=one.service, part=one.identity)
-            for one in self._sound_parts(now_s)
-        )
+        request.sound_parts.extend(self._answers(now_s))
 
     def apply_reply(self, reply: HeartbeatReply, now_s: float) -> bool:
         """Apply the leader's news; tell whether it waits for an answer."""
@@ -79,11 +77,12 @@
                 lost.replica, now_s - lost.age_s, now_s
             )
             has_news = has_news or is_new
-        suspected = [
-            SharedPart(one.service, one.part) for one in reply.suspected_parts
-        ]
-        has_news = has_news or suspected != self._suspected
-        self._suspected = suspected
+        first_lost_s = {
+            SharedPart(one.service, one.part): now_s - one.first_lost_age_s
+            for one in reply.suspected_parts
+        }
+        has_news = has_news or first_lost_s.keys() != self._first_lost_s.keys()
+        self._first_lost_s = first_lost_s
         self._apply_quarantines(reply, now_s)
         return has_news
 
@@ -101,14 +100,20 @@
             )
         self._quarantines = held
 
-    def _sound_parts(self, now_s: float) -> list[SharedPart]:
-        sound = self.runs.sound_among(self._suspected, now_s)
-        sound.extend(
-            one.part
-            for one in self._quarantines.values()
-            if self.runs.is_sound_since(one.part, one.since_s)
-        )
-        return sound
+    def _answers(self, now_s: float) -> list[PromptPartName]:
+        """Return the sound runs with the parts that the leader asks of."""
+        answers = []
+        for part, first_lost_s in self._first_lost_s.items():
+            sound = self.runs.sound_runs(part, first_lost_s, now_s)
+            if sound.before or sound.after:
+                answer = PromptPartName(
+                    service=part.service,
+                    part=part.identity,
+                    sound_before=sound.before,
+                    sound_after=sound.after,
+                )
+                answers.append(answer)
+        return answers
 
 
 def prompt_run(exchange: RelayExchange) -> PromptRun:
--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -15,6 +15,7 @@
     PromptRun,
     PromptRuns,
     SharedPart,
+    SoundRuns,
 )
 
 STEP_S = 0.05
@@ -224,8 +225,11 @@
                 leader.take(suspect)
             for replica, lost_s in leader.recent_losses(self.now_s):
                 runs.record_lost(replica, lost_s, self.now_s)
-            asked = leader.suspected()
-            leader.take_sound(runs.sound_among(asked, self.now_s), self.now_s)
+            for asked in leader.questions():
+                sound = runs.sound_runs(
+                    asked.part, asked.first_lost_s, self.now_s
+                )
+                leader.take_sound(f'e{number}', asked.part, sound)
         if step % ROUND_STEPS == 0:
             held = [one.part for one in self.found]
             self.found.extend(leader.find(held, (), self.now_s))
@@ -261,7 +265,7 @@
 def suspect(number, *identities, begun=True):
     """Return a run that a replica of its own was lost under."""
     run = PromptRun(f'a{number}', 's', identities, f'd{number}')
-    return CrashSuspect(run, f'r{number}', 0.0, begun)
+    return CrashSuspect(run, f'r{number}', number * 0.1, begun)
 
 
 def found_after_answers(crashes, known=()):
@@ -275,7 +279,7 @@
     crashes = PromptCrashes()
     for number in range(4):
         run = PromptRun('a1', 's', ('bad',), 'd1')
-        crashes.take(CrashSuspect(run, f'r{number}', 0.0, True))
+        crashes.take(CrashSuspect(run, f'r{number}', number * 0.1, True))
     assert not found_after_answers(crashes)
 
 
@@ -285,8 +289,8 @@
     for number in range(3):
         crashes.take(suspect(number, 'bad'))
     assert not crashes.find((), (), 0.1)
-    assert crashes.suspected() == [BAD]
-    crashes.take_sound([BAD], 0.2)
+    assert [one.part for one in crashes.questions()] == [BAD]
+    crashes.take_sound('e1', BAD, SoundRuns(before=2, after=3))
     assert not crashes.find((), (), 0.1 + ANSWER_S)
 
 
@@ -307,8 +311,18 @@
     runs.record_cut('r0', 'a0')
     runs.record_lost('r1', 0.5, 0.6)
     parts = [SharedPart('s', one) for one in ('cut', 'lost', 'sound')]
-    assert not runs.sound_among(parts, 1.0)
-    assert runs.sound_among(parts, SURVIVAL_S) == parts[2:]
+    assert not any(runs.sound_runs(one, 0.0, 1.0).after for one in parts)
+    counts = [runs.sound_runs(one, 0.0, SURVIVAL_S).after for one in parts]
+    assert counts == [0, 0, 1]
+
+
+def test_sound_runs_are_told_apart_by_the_first_crash():
+    """A part may turn deadly while it is in use."""
+    runs = PromptRuns()
+    for number in range(5):
+        runs.record_began('r1', run_of('same'), float(number))
+    sound = runs.sound_runs(SAME, 2.0, 4.0 + SURVIVAL_S)
+    assert sound == SoundRuns(before=2, after=3)
 
 
 def run_of(digest, *identities, attempt='a1', is_stream=True):
