Explain crashes anew with what is held already among the explanations

Each search now weighs held and other suspects alike over all crashes. A held one is lifted where others explain each of its crashes by two crashes more. test_held_bystander_takes_no_evidence_from_the_cause: 4 crashes beside both, 2 more beside the cause. Before, the cause has 2 crashes left and is not found (the method that lifts is new, so the test fails at its first call).

--- a/snipebridge/fleet/prompts.py
+++ b/snipebridge/fleet/prompts.py
@@ -84,19 +84,24 @@
         held = [_part(one) for one in quarantines.in_force(now_ms)]
         known = [_part(one) for one in quarantines.expired(now_ms)]
         crashes = leadership.routed.crashes
+        found = crashes.find(held, known, now_s)
         due = [
             _command(
-                found.part,
-                f'{found.crashes} replicas were lost'
-                f' under {found.witnesses} {_witness_name(found.part)}',
+                one.part,
+                f'{one.crashes} replicas were lost'
+                f' under {one.witnesses} {_witness_name(one.part)}',
             )
-            for found in crashes.find(held, known, now_s)
+            for one in found
         ]
         lifted = [
             _command(part, 'many runs with it were sound', lifted=True)
             for part in held
             if crashes.is_sound(part)
         ]
+        lifted += [
+            _command(part, 'another explains its crashes', lifted=True)
+            for part in crashes.explained_otherwise(held)
+        ]
         return due + lifted
 
 
--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -62,6 +62,8 @@
 # Of parts with nearly the same evidence the narrowest one is found.
 _CLOSE = 1.0
 _CLOSE_SHARE = 0.25
+# So much more evidence makes another explanation clearly better.
+_CLEAR = 2.0
 # Evidence from which on the entries are asked whether a part is sound.
 _ASK_WEIGHT = 2.0
 # They have answered by then: a heartbeat brings the question, and the next one,
@@ -138,6 +140,8 @@
     # What each entry told last, by part.
     _sound: dict[SharedPart, dict[str, SoundRuns]] = field(default_factory=dict)
     _questions: dict[SharedPart, Question] = field(default_factory=dict)
+    # What explains the crashes, as of the last search.
+    _explanations: list[_Score] = field(default_factory=list)
 
     def take_loss(self, replica: str, lost_s: float) -> None:
         """Note that a replica was lost at a moment of this clock."""
@@ -180,18 +184,48 @@
         """
         self._discard_old(now_s)
         self._ask(known, now_s)
-        crashes = _without(self._crashes, quarantined)
         found: list[FoundPart] = []
+        self._explanations = []
+        crashes = self._crashes
         best = self._best(crashes, known)
         while best is not None:
-            if self._is_ready(best, known, now_s):
-                found.append(FoundPart(best.part, best.crashes, best.count))
+            is_held = best.part in quarantined
+            if is_held or self._is_ready(best, known, now_s):
+                self._explanations.append(best)
+                if not is_held:
+                    found.append(FoundPart(best.part, best.crashes, best.count))
             # What a suspect explains that is not ready speaks against no
             # wider one meanwhile.
-            crashes = _without(crashes, (best.part,))
+            crashes = _without(crashes, best.part)
             best = self._best(crashes, known)
         return found
 
+    def explained_otherwise(
+        self, quarantined: Collection[SharedPart]
+    ) -> list[SharedPart]:
+        """Return held parts whose crashes have a clearly better explanation."""
+        explaining = {one.part for one in self._explanations}
+        scores = _scores(self._crashes)
+        return [
+            part
+            for part in quarantined
+            if part in scores
+            and part not in explaining
+            and self._is_explained(scores[part])
+        ]
+
+    def _is_explained(self, score: _Score) -> bool:
+        better = {
+            one.part
+            for one in self._explanations
+            if one.weight >= score.weight + _CLEAR
+        }
+        return all(
+            any(part in better for part in by_part)
+            for by_part in map(_by_part, self._crashes)
+            if score.part in by_part
+        )
+
     def is_sound(self, part: SharedPart) -> bool:
         """Tell whether too many runs with a part were sound to suspect it."""
         score = _scores(self._crashes).get(part)
@@ -298,15 +332,9 @@
     return by_part
 
 
-def _without(
-    crashes: list[_Crash], parts: Collection[SharedPart]
-) -> list[_Crash]:
-    """Return the crashes that none of the parts explains."""
-    return [
-        crash
-        for crash in crashes
-        if not any(part in parts for part in _by_part(crash))
-    ]
+def _without(crashes: list[_Crash], part: SharedPart) -> list[_Crash]:
+    """Return the crashes that a part does not explain."""
+    return [crash for crash in crashes if part not in _by_part(crash)]
 
 
 def _threshold(part: SharedPart, known: Collection[SharedPart]) -> float:
--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -433,3 +433,22 @@
         fleet.crash(0, 1, 2)
     fleet.play(35.0, crashes_per_s=0.6)
     assert not fleet.found
+
+
+def test_held_bystander_takes_no_evidence_from_the_cause():
+    """It stood beside four crashes, and the cause beside those and more."""
+    crashes = PromptCrashes()
+    bystander = SharedPart('s', 'request:bystander')
+    for number in range(4):
+        cause = run_of('same', attempt=f'a{number}')
+        other = run_of('bystander', attempt=f'b{number}')
+        lose(crashes, number, cause, other)
+    crashes.find([bystander], (), 1.0)
+    assert not crashes.explained_otherwise([bystander])
+    for number in range(4, 6):
+        lose(crashes, number, run_of('same', attempt=f'a{number}'))
+    found = crashes.find([bystander], (), 1.0 + ANSWER_S)
+    assert [one.part for one in found] == [SAME]
+    assert crashes.explained_otherwise([bystander]) == [bystander]
+    assert not crashes.find([SAME], (), 3.0)
+    assert not crashes.explained_otherwise([SAME])
