Send a request under which two replicas ended to no third one

The entry needs nobody to tell it: after two of its own runs that had begun and whose replicas then refuse connections, it gives the request up (502, or the stream is cut; it has run). The new test fails before with 3 replicas reached. A run that had not begun does not count, so one that waited beside two crashes goes on.

--- a/snipebridge/relay/crash_watch.py
+++ b/snipebridge/relay/crash_watch.py
@@ -6,7 +6,7 @@
 from snipebridge.clock import Clock
 from snipebridge.logs import log_decision
 from snipebridge.relay.attempts import Attempt
-from snipebridge.relay.exchange import RelayExchange
+from snipebridge.relay.exchange import BrokenRun, RelayExchange
 from snipebridge.relay.prompt_guard import PromptGuard, prompt_run
 from snipebridge.relay.replicas import Replica
 from snipebridge.upstreams.connections import ConnectionPool
@@ -65,14 +65,30 @@
         if isinstance(error, RefusedError):
             self._record_lost(replica, now_s)
         elif isinstance(error, InvalidResponseError):
+            run = prompt_run(exchange)
             if attempt.head is None:
-                self._guard.runs.record_unanswered(
-                    replica.id,
-                    prompt_run(exchange),
-                    now_s,
+                self._guard.runs.record_unanswered(replica.id, run, now_s)
+            if attempt.head is not None or not run.is_stream:
+                exchange.progress.broken_runs.append(
+                    BrokenRun(replica.id, now_s)
                 )
             self._start_check(replica, now_s)
 
+    async def count_crashes(self, exchange: RelayExchange) -> int:
+        """Return how many replicas have crashed under this request."""
+        broken = exchange.progress.broken_runs
+        checks = [
+            self._checks[one.replica]
+            for one in broken
+            if one.replica in self._checks
+        ]
+        if checks:
+            await asyncio.wait(checks)
+        return sum(
+            self._guard.runs.was_lost_near(one.replica, one.broke_s)
+            for one in broken
+        )
+
     def _start_check(self, replica: Replica, broke_s: float) -> None:
         if replica.id in self._checks:
             return
--- a/snipebridge/relay/exchange.py
+++ b/snipebridge/relay/exchange.py
@@ -26,6 +26,14 @@
         """Close the connection, so that the response looks incomplete."""
 
 
+@dataclass(slots=True, frozen=True)
+class BrokenRun:
+    """A run that had begun when its connection broke off."""
+
+    replica: str
+    broke_s: float
+
+
 @dataclass(slots=True)
 class Progress:
     """Results of the attempts so far, for decisions and the log."""
@@ -48,6 +56,7 @@
     # those that responded with status 5xx.
     failed_software: set[str] = field(default_factory=set)
     erring_software: set[str] = field(default_factory=set)
+    broken_runs: list[BrokenRun] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -45,6 +45,8 @@
 # Range of the Retry-After sent when no replica took the request: random, so
 # that callers do not return at once, and short enough for their deadlines.
 _RETRY_AFTER_RANGE_S = (0.3, 1.0)
+# Replicas that may crash under one request before it goes to no further one.
+_CRASH_LIMIT = 2
 # The least urgent priority that replicas accept.
 _LOWEST_PRIORITY = 9
 
@@ -110,6 +112,7 @@
     async def _next_attempt(self) -> Attempt:
         """Return an attempt with its response head, or raise the last error."""
         while True:
+            await self._check_crashes()
             attempt = self._make_attempt(self._select())
             has_head = False
             try:
@@ -223,6 +226,14 @@
             self._fail('no eligible replica remains')
         return choice
 
+    async def _check_crashes(self) -> None:
+        """Stop a request that may crash each replica that it reaches."""
+        if len(self._progress.broken_runs) < _CRASH_LIMIT:
+            return
+        crashes = await self._dependencies.crashes.count_crashes(self._exchange)
+        if crashes >= _CRASH_LIMIT:
+            self._fail(f'{crashes} replicas crashed under the request')
+
     def _check_quarantine(self) -> None:
         now_s = self._dependencies.clock.monotonic_s()
         held = self._dependencies.prompts.find_quarantine(self._exchange, now_s)
--- a/tests/relay/test_prompt_guard.py
+++ b/tests/relay/test_prompt_guard.py
@@ -21,9 +21,13 @@
     ]
 
 
-async def chat(entry, prompt):
+async def chat(entry, prompt, attempt='a1'):
     """Request a stream with a prompt."""
-    headers = {**CHAT_HEADERS, 'X-Prefix-Hash': prompt}
+    headers = {
+        **CHAT_HEADERS,
+        'X-Prefix-Hash': prompt,
+        'X-Attempt-Id': attempt,
+    }
     return await entry.request('/chat/x', 'POST', b'p', headers)
 
 
@@ -88,6 +92,48 @@
     run(scenario())
 
 
+def test_request_under_which_two_replicas_ended_is_not_sent_to_a_third():
+    """The entry knows enough by its own attempts."""
+
+    async def scenario():
+        fragile = replicas(4)
+        for one in fragile:
+            one.faults.crashes_on_target = '/chat/x'
+            one.faults.restart_s = 9.0
+        async with RunningEntry(*fragile) as entry:
+            answer = await chat(entry, '5c:800,91:10')
+            assert not answer.is_whole
+            assert sum(len(one.runs) for one in fragile) == 2
+
+    run(scenario())
+
+
+def test_entry_without_a_leader_holds_a_request_by_its_own_crashes():
+    """The same rule, over what this entry has seen itself."""
+
+    async def scenario():
+        fragile = replicas(8)
+        for one in fragile:
+            one.faults.crashes_on_target = '/chat/x'
+            one.faults.restart_s = 9.0
+        async with RunningEntry(*fragile) as entry:
+            entry.control.is_silent = True
+            await asyncio.sleep(1.2)
+            for number in range(2):
+                await chat(entry, '5c:800,91:10', f'a{number}')
+            await asyncio.sleep(1.5)
+            arrived = sum(len(one.runs) for one in fragile)
+            refused = await chat(entry, '5c:800,91:10')
+            assert refused.status == 503
+            assert sum(len(one.runs) for one in fragile) == arrived
+            other = await entry.request(
+                '/chat/y', 'POST', b'p', {**CHAT_HEADERS}
+            )
+            assert other.status == 200
+
+    run(scenario())
+
+
 def suspected(entry):
     """Return the runs that the entry reported last."""
     return list(entry.control.requests[-1].suspected_runs)
