Let an entry without a leader hold requests by its own crashes

Only the leader counted crashes, so while there is none each entry sent the same request on for ever. An entry whose last reply is over a second old now runs the same search over its own runs, and holds what it finds for 30 s.

--- a/snipebridge/relay/prompt_guard.py
+++ b/snipebridge/relay/prompt_guard.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from snipebridge.logs import log_decision
+from snipebridge.policy.prompt_crashes import PromptCrashes
 from snipebridge.policy.prompt_runs import PromptRun, PromptRuns, SharedPart
 from snipebridge.relay.exchange import RelayExchange
 from snipebridge.routing.tables import RouteKind
@@ -19,6 +20,12 @@
 )
 
 
+# Without news from the leader for this long an entry decides by itself, and
+# what it holds is held for so long.
+_ALONE_AFTER_S = 1.0
+_ALONE_HOLD_S = 30.0
+
+
 @dataclass(slots=True)
 class HeldQuarantine:
     """A part that no replica may get."""
@@ -33,6 +40,10 @@
     """Runs and losses seen here, and the quarantines of the leader."""
 
     runs: PromptRuns = field(default_factory=PromptRuns)
+    _replied_s: float = float('-inf')
+    # Finds by the same rule, in what this entry has seen itself.
+    _own_crashes: PromptCrashes = field(default_factory=PromptCrashes)
+    _held_alone: dict[SharedPart, HeldQuarantine] = field(default_factory=dict)
     _quarantines: dict[SharedPart, HeldQuarantine] = field(default_factory=dict)
     # When the first replica was lost under the parts that the leader asks of.
     _first_lost_s: dict[SharedPart, float] = field(default_factory=dict)
@@ -41,16 +52,18 @@
         self, exchange: RelayExchange, now_s: float
     ) -> HeldQuarantine | None:
         """Return the quarantine that a request falls under."""
-        if not self._quarantines:
+        if not (self._quarantines or self._held_alone):
             return None
         for part in prompt_run(exchange).parts:
-            held = self._quarantines.get(part)
+            held = self._quarantines.get(part) or self._held_alone.get(part)
             if held is not None and held.until_s > now_s:
                 return held
         return None
 
     def fill_request(self, request: HeartbeatRequest, now_s: float) -> None:
         """Add lost replicas, the runs they may have crashed under, and news."""
+        if now_s - self._replied_s > _ALONE_AFTER_S:
+            self._search_alone(now_s)
         request.lost_replicas.extend(
             LostReplica(replica=replica, age_s=now_s - lost_s)
             for replica, lost_s in self.runs.losses(now_s).items()
@@ -71,6 +84,7 @@
 
     def apply_reply(self, reply: HeartbeatReply, now_s: float) -> bool:
         """Apply the leader's news; tell whether it waits for an answer."""
+        self._replied_s = now_s
         has_news = False
         for lost in reply.lost_replicas:
             is_new = self.runs.record_lost(
@@ -100,6 +114,31 @@
             )
         self._quarantines = held
 
+    def _search_alone(self, now_s: float) -> None:
+        crashes = self._own_crashes
+        for suspect in self.runs.suspects(now_s):
+            crashes.take(suspect)
+        for asked in crashes.questions():
+            sound = self.runs.sound_runs(asked.part, asked.first_lost_s, now_s)
+            crashes.take_sound('', asked.part, sound)
+        for found in crashes.find(self._held_alone, (), now_s):
+            self._held_alone[found.part] = HeldQuarantine(
+                found.part, now_s, now_s + _ALONE_HOLD_S
+            )
+            log_decision(
+                'quarantine_without_leader',
+                service=found.part.service,
+                part=found.part.identity,
+                crashes=found.crashes,
+                witnesses=found.witnesses,
+                held_s=_ALONE_HOLD_S,
+            )
+        self._held_alone = {
+            part: held
+            for part, held in self._held_alone.items()
+            if held.until_s > now_s
+        }
+
     def _answers(self, now_s: float) -> list[PromptPartName]:
         """Return the sound runs with the parts that the leader asks of."""
         answers = []
