--- /dev/null
+++ b/tests/relay/test_cut_entries.py
@@ -0,0 +1,139 @@
+"""An entry that reaches no replica, beside one that does."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from fakes.cut_link import NEW_REFUSED, RESET, SILENT, CutLink
+from fakes.platform_caller import CHAT_HEADERS
+from fakes.platform_replica import PlatformReplica
+from snipebridge.rpc.control_pb2 import EntryMember
+from tests.relay.running_entry import RunningEntry
+
+ANSWERED = 200
+# The platform's bound on how long a host may take to notice.
+CONNECTIVITY_S = 3.0
+KINDS = ('/look/x', '/book/x', '/chat/x')
+
+
+class Pair:
+    """One entry whose ways to all replicas can be cut, and a sound one."""
+
+    def __init__(self):
+        """Start nothing yet."""
+        self.replicas = [
+            PlatformReplica(f'm{number}', 'models', '127.0.0.1', events=30)
+            for number in range(3)
+        ] + [
+            PlatformReplica(f'd{number}', 'desk', '127.0.0.1')
+            for number in range(2)
+        ]
+        self.links = [CutLink(one) for one in self.replicas]
+        self.sound = RunningEntry(*self.replicas)
+        self.cut_off = RunningEntry(*self.links)
+        self._tasks = []
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self):
+        """Start both entries and let them know each other."""
+        await self._stack.enter_async_context(self.sound)
+        await self._stack.enter_async_context(self.cut_off)
+        both = (('e-sound', self.sound), ('e-cut', self.cut_off))
+        for _, entry in both:
+            for name, other in both:
+                member = EntryMember(
+                    name=name,
+                    data_centre='a',
+                    address=other.control.requests[-1].address,
+                )
+                entry.control.reply.entries.append(member)
+            entry.control.reply.entries_digest = 7
+        await asyncio.sleep(0.2)
+        return self
+
+    async def __aexit__(self, *exception):
+        """Stop both."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+    async def cut(self, form):
+        """Cut all ways of one entry."""
+        for link in self.links:
+            await link.cut(form)
+
+    async def heal(self):
+        """Mend all ways."""
+        for link in self.links:
+            await link.heal()
+
+    def passed_bytes(self):
+        """Return what has passed on the ways that can be cut."""
+        return sum(one.passed_bytes for one in self.links)
+
+    async def play(self, seconds, attempts_per_s=15.0):
+        """Send requests to the cut entry; return their outcomes."""
+        tasks = []
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + seconds
+        while loop.time() < until_s:
+            tasks.append(asyncio.create_task(self._ask(len(tasks))))
+            await asyncio.sleep(1 / attempts_per_s)
+        self._tasks.extend(tasks)
+        return tasks
+
+    async def served(self, tasks):
+        """Return the share of requests that were answered in full."""
+        answers = await asyncio.gather(*tasks)
+        served = [one.status == ANSWERED and one.is_whole for one in answers]
+        return sum(served) / len(served)
+
+    async def _ask(self, number):
+        path = KINDS[number % len(KINDS)]
+        headers = {'X-Attempt-Id': f'a{number}', 'X-Deadline-Ms': '600'}
+        if path.startswith('/chat'):
+            headers = {**CHAT_HEADERS, 'X-Attempt-Id': f'a{number}'}
+        is_read = path.startswith('/look')
+        try:
+            return await self.cut_off.request(
+                path,
+                'GET' if is_read else 'POST',
+                b'' if is_read else f'p{number}'.encode(),
+                headers,
+            )
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return await self.sound.request('/none/')
+
+
+def run(scenario):
+    """Run a scenario with a pair of entries."""
+
+    async def session():
+        async with asyncio.timeout(40):
+            async with Pair() as pair:
+                await scenario(pair)
+
+    asyncio.run(session())
+
+
+@pytest.mark.parametrize('form', [SILENT, RESET, NEW_REFUSED])
+def test_entry_that_reaches_no_replica_still_serves(form):
+    """From the platform's bound on, and by itself again once it is mended."""
+
+    async def scenario(pair):
+        assert await pair.served(await pair.play(1.5)) > 0.95
+        await pair.cut(form)
+        await pair.play(CONNECTIVITY_S)
+        # More at once than there are open connections.
+        during = await pair.play(4.0, attempts_per_s=60.0)
+        served = await pair.served(during)
+        await pair.heal()
+        assert served > 0.95
+        await pair.play(2.0)
+        passed_bytes = pair.passed_bytes()
+        assert await pair.served(await pair.play(2.0)) > 0.95
+        assert pair.passed_bytes() > passed_bytes
+
+    run(scenario)
