Reach replicas through another entry where the direct way is cut

A connection that is refused or takes over 0.12 s is tried through other entries by HTTP CONNECT, two at a time, near and far. Where one has it the replica is reached like that until a direct connection works again (tried each second), and the other ways are looked at; four that fail and none that works mean all. It serves listed replicas by id, to entries of the fleet only, 128 at a time. An answer without length or chunks is not complete when a tunnel ends.

--- a/snipebridge/policy/circuit_breaker.py
+++ b/snipebridge/policy/circuit_breaker.py
@@ -49,6 +49,11 @@
         self._pause_s = INITIAL_PAUSE_S
         self.failure_share *= 1 - _SMOOTHING
 
+    def close(self) -> None:
+        """Allow requests at once: the failures had another cause."""
+        self.record_success()
+        self._open_until_s = float('-inf')
+
     def record_failure(self, now_s: float) -> None:
         """Count a failure of a request that was sent to the replica."""
         self._count_failure()
--- a/snipebridge/relay/crash_watch.py
+++ b/snipebridge/relay/crash_watch.py
@@ -7,9 +7,9 @@
 from snipebridge.logs import log_decision
 from snipebridge.relay.attempts import Attempt
 from snipebridge.relay.exchange import BrokenRun, RelayExchange
+from snipebridge.relay.paths import PathFinder
 from snipebridge.relay.prompt_guard import PromptGuard, prompt_run
 from snipebridge.relay.replicas import Replica
-from snipebridge.upstreams.connections import ConnectionPool
 from snipebridge.upstreams.errors import (
     InvalidResponseError,
     RefusedError,
@@ -20,22 +20,23 @@
 class CrashWatch:
     """Records the runs of this entry and checks replicas that broke off.
 
-    A replica that broke off an answer and refuses connections has crashed. One
-    that still takes them, or that can't be reached, has not.
+    A replica that broke off an answer and refuses connections, those of other
+    entries too, has crashed. One that still takes them, or that can't be
+    reached, has not.
     """
 
-    __slots__ = ('_checks', '_clock', '_guard', '_pool', '_report_now')
+    __slots__ = ('_checks', '_clock', '_guard', '_paths', '_report_now')
 
     def __init__(
         self,
         guard: PromptGuard,
-        pool: ConnectionPool,
+        paths: PathFinder,
         clock: Clock,
         report_now: Callable[[], None],
     ) -> None:
         """Use the guard of the entry; ``report_now`` sends a heartbeat."""
         self._guard = guard
-        self._pool = pool
+        self._paths = paths
         self._clock = clock
         self._report_now = report_now
         # By replica, so that many broken runs cause one connection.
@@ -97,7 +98,7 @@
         task.add_done_callback(lambda _: self._checks.pop(replica.id, None))
 
     async def _check(self, replica: Replica, broke_s: float) -> None:
-        if await self._pool.is_refused(replica.address):
+        if await self._paths.is_refused(replica.id, replica.address):
             self._record_lost(replica, broke_s)
 
     def _record_lost(self, replica: Replica, lost_s: float) -> None:
--- a/snipebridge/relay/dependencies.py
+++ b/snipebridge/relay/dependencies.py
@@ -18,6 +18,7 @@
 from snipebridge.relay.crash_watch import CrashWatch
 from snipebridge.relay.messages import HeaderCodec
 from snipebridge.relay.metrics import RelayMetrics
+from snipebridge.relay.paths import PathFinder
 from snipebridge.relay.prompt_guard import PromptGuard
 from snipebridge.relay.replica_limits import ReplicaLimits
 from snipebridge.relay.replica_placement import ReplicaPlacer
@@ -31,6 +32,7 @@
 
     placer: ReplicaPlacer
     pool: ConnectionPool
+    paths: PathFinder
     codec: HeaderCodec
     software: SoftwareSelector
     prefill_speeds: PrefillSpeedEstimator
--- a/snipebridge/relay/filter_chain.py
+++ b/snipebridge/relay/filter_chain.py
@@ -19,6 +19,7 @@
 from snipebridge.relay.forwarding import ForwardFilter
 from snipebridge.relay.messages import HeaderCodec
 from snipebridge.relay.metrics import RelayMetrics
+from snipebridge.relay.paths import PathFinder
 from snipebridge.relay.replica_placement import ReplicaPlacer
 from snipebridge.relay.reporting import RelayReporter
 from snipebridge.relay.state import RelayState
@@ -34,6 +35,7 @@
     reporter: RelayReporter,
     state: RelayState,
     pool: ConnectionPool,
+    paths: PathFinder,
     metrics: RelayMetrics,
     clock: Clock,
     rng: random.Random,
@@ -43,12 +45,13 @@
     dependencies = ForwardDependencies(
         placer=ReplicaPlacer(state, clock, rng, settings.process.data_centre),
         pool=pool,
+        paths=paths,
         codec=HeaderCodec(settings.headers),
         software=state.software,
         prefill_speeds=state.prefill_speeds,
         prompts=state.prompts,
         limits=state.limits,
-        crashes=CrashWatch(state.prompts, pool, clock, link.send_now),
+        crashes=CrashWatch(state.prompts, paths, clock, link.send_now),
         retries=RetryWindow(
             promises.retry_ratio,
             promises.retry_slack,
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -15,6 +15,7 @@
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.errors import (
     NotRunError,
+    RelayError,
     TimedOutError,
     UpstreamFailedError,
 )
@@ -95,7 +96,7 @@
             async with asyncio.timeout(self._limits.remaining_s()):
                 await self._attempts()
         except TimeoutError as error:
-            self._raise_timeout(error)
+            raise _timeout_error(self._exchange) from error
 
     async def _attempts(self) -> None:
         while True:
@@ -361,21 +362,14 @@
             return True
         if self._limits.is_hung(silent_s):
             return True
-        return not await self._dependencies.pool.can_reach(replica.address)
+        return not await self._dependencies.paths.can_reach(
+            replica.id, replica.address
+        )
 
     def _record_fault(self, attempt: Attempt, error: UpstreamError) -> None:
         self._splitter.reset()
         self._outcomes.record_fault(attempt, error)
 
-    def _raise_timeout(self, error: TimeoutError) -> None:
-        if self._exchange.reply.started:
-            raise UpstreamFailedError(
-                'the deadline passed during the stream'
-            ) from error
-        if self._progress.ran is Ran.NO:
-            raise NotRunError('the deadline passed before a run') from error
-        raise TimedOutError('the deadline of the request passed') from error
-
     def _make_attempt(self, choice: Choice) -> Attempt:
         return Attempt(
             choice,
@@ -393,3 +387,11 @@
 
 def _max_idle_s(route: Route) -> float:
     return IDLE_LIMIT_S if route.allows_retry else _NON_RETRYABLE_IDLE_S
+
+
+def _timeout_error(exchange: RelayExchange) -> RelayError:
+    if exchange.reply.started:
+        return UpstreamFailedError('the deadline passed during the stream')
+    if exchange.progress.ran is Ran.NO:
+        return NotRunError('the deadline passed before a run')
+    return TimedOutError('the deadline of the request passed')
--- a/snipebridge/relay/metrics.py
+++ b/snipebridge/relay/metrics.py
@@ -39,7 +39,9 @@
         'connections',
         'first_byte_s',
         'lease_remaining_s',
+        'indirect_replicas',
         'log_lines_dropped',
+        'open_tunnels',
         'registry',
         'requests',
         'routing_version',
@@ -80,6 +82,12 @@
         self.connections = self._gauge(
             'replica_connections_opened', 'Connections opened to replicas.'
         )
+        self.indirect_replicas = self._gauge(
+            'indirect_replicas', 'Replicas reached through other entries.'
+        )
+        self.open_tunnels = self._gauge(
+            'open_tunnels', 'Connections passed on for other entries.'
+        )
         self.log_lines_dropped = self._gauge(
             'log_lines_dropped', 'Log lines dropped because too many came.'
         )
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -8,7 +8,11 @@
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.exchange import RelayExchange
 from snipebridge.relay.messages import ResponseHead
-from snipebridge.upstreams.errors import ConnectError, UpstreamError
+from snipebridge.upstreams.errors import (
+    ConnectError,
+    ResponseTimeoutError,
+    UpstreamError,
+)
 
 _MS_PER_S = 1000
 _EVENT_END = b'\n\n'
@@ -63,6 +67,8 @@
             self._dependencies.pool.drop(replica.id)
         else:
             replica.circuit_breaker.record_failure(now_s)
+        if isinstance(error, ResponseTimeoutError):
+            self._dependencies.paths.check(replica.id, replica.address)
         self._dependencies.crashes.record_fault(attempt, self._exchange, error)
         self._intervals = EventIntervals()
         self._exchange.progress.resumptions += self._exchange.reply.started
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -15,6 +15,7 @@
 from snipebridge.relay.state import RelayState
 from snipebridge.relay.metrics import RelayMetrics
 from snipebridge.relay.status_endpoints import make_status_application
+from snipebridge.relay.paths import PathFinder
 from snipebridge.relay.reporting import RelayReporter
 from snipebridge.relay.server import ServerDependencies, make_relay_server
 from snipebridge.relay.software_selection import SoftwareSelector
@@ -27,6 +28,7 @@
 from snipebridge.upstreams.client import make_upstream_client
 from snipebridge.upstreams.connections import ConnectionPool
 from snipebridge.upstreams.replica_list import make_replica_list
+from snipebridge.upstreams.tunnels import TunnelServer
 
 # The load balancer checks once a second and removes a host after two failed
 # checks. Until then new requests arrive and are served. A later request on a
@@ -65,7 +67,18 @@
             )
         )
         self._reporter = RelayReporter(self._state, clock)
-        self._reporter.on_replica_removed = self._pool.drop
+        self._paths = PathFinder(
+            self._state.replicas,
+            self._pool,
+            clock,
+            rng,
+            settings.process.data_centre,
+        )
+        self._paths.on_change = self._apply_path
+        self._pool.dialer = self._paths
+        self._tunnels = TunnelServer(self._paths)
+        self._reporter.on_entries = self._paths.helpers.set_peers
+        self._reporter.on_replica_removed = self._remove_replica
         self._reporter.on_table_change = self._apply_limits
         self._link: ControlLink = make_control_link(
             settings, clock, self._reporter
@@ -79,6 +92,7 @@
                 self._reporter,
                 self._state,
                 self._pool,
+                self._paths,
                 self._metrics,
                 clock,
                 rng,
@@ -114,8 +128,10 @@
     async def start(self) -> None:
         """Listen and start the background tasks."""
         settings = self._settings
-        name = settings.process.name
-        self._link.set_address(f'{settings.listener.host}/{name}')
+        tunnels = settings.tunnel_listener
+        await self._tunnels.start(tunnels.host, tunnels.port)
+        self._paths.helpers.own_address = f'{tunnels.host}:{self._tunnels.port}'
+        self._link.set_address(self._paths.helpers.own_address)
         self.http_port = self._listen(self._caller_server, settings.listener)
         pages = HTTPServer(
             make_status_application(
@@ -127,6 +143,7 @@
             self._listen(pages, settings.metrics_listener)
         self._spawn('heartbeats', self._link.run)
         self._spawn('connection_pool', self._clean_up_pool)
+        self._spawn('replica_paths', self._paths.run)
         self._spawn_fallback()
         log_event('started', http_port=self.http_port)
 
@@ -153,9 +170,21 @@
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
+        self._tunnels.close()
         self._pool.close()
         await self._link.close()
 
+    def _remove_replica(self, replica: str) -> None:
+        self._paths.forget(replica)
+        self._pool.drop(replica)
+
+    def _apply_path(self, replica: str) -> None:
+        """Start afresh with a replica whose way has changed."""
+        self._pool.drop(replica)
+        listed = self._state.replicas.by_id.get(replica)
+        if listed is not None:
+            listed.circuit_breaker.close()
+
     def _apply_limits(self, table: RoutingTable) -> None:
         limits = table.limits
         params = self._caller_server.conn_params
@@ -177,7 +206,7 @@
             settings,
             self._clock,
             self._rng,
-            self._pool.drop,
+            self._remove_replica,
         )
         self._spawn('replica_list', fallback.run)
 
@@ -192,6 +221,8 @@
         self._metrics.lease_remaining_s.set({}, remaining_s)
         self._metrics.routing_version.set({}, self.table.version)
         self._metrics.connections.set({}, self._pool.opened)
+        self._metrics.indirect_replicas.set({}, self._paths.indirect_count)
+        self._metrics.open_tunnels.set({}, self._tunnels.open_tunnels)
         self._metrics.log_lines_dropped.set({}, dropped_lines())
 
     def _listen(self, server: HTTPServer, listener: ListenerSettings) -> int:
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -1,6 +1,6 @@
 """Exchanges state with control by the heartbeats of a routed entry."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from snipebridge.clock import Clock
 from snipebridge.fleet.packing import PackingError, unpack
@@ -10,6 +10,7 @@
 from snipebridge.routing.errors import DocumentError
 from snipebridge.routing.tables import RoutingTable
 from snipebridge.rpc.control_pb2 import (
+    EntryMember,
     HeartbeatReply,
     HeartbeatRequest,
     ModelPace,
@@ -31,6 +32,7 @@
         '_sent_at_s',
         '_software',
         'entry_count',
+        'on_entries',
         'on_replica_removed',
         'on_table_change',
         'report_now',
@@ -49,6 +51,8 @@
         self._sent_at_s = 0.0
         self.entry_count = 1
         self.table = RoutingTable()
+        # Called with the entries of the fleet where they have changed.
+        self.on_entries: Callable[[Sequence[EntryMember]], None] = _do_nothing
         self.on_table_change: TableListener = _do_nothing
         self.on_replica_removed: Callable[[str], None] = _do_nothing
         # Sends the next heartbeat at once.
@@ -81,6 +85,7 @@
             self._entries_digest = reply.entries_digest
             staying = [one for one in reply.entries if not one.leaving]
             self.entry_count = max(1, len(staying))
+            self.on_entries(reply.entries)
         self._take_routing(reply)
         self._take_replicas(reply)
         self._limits.apply_reply(reply, self._sent_at_s, self.entry_count)
--- a/snipebridge/settings/models.py
+++ b/snipebridge/settings/models.py
@@ -185,6 +185,8 @@
     keyless_operators: bool = False
     ready_listener: ListenerSettings = field(default_factory=ListenerSettings)
     metrics_listener: ListenerSettings = field(default_factory=ListenerSettings)
+    # Where other entries connect that reach no replica by themselves.
+    tunnel_listener: ListenerSettings = field(default_factory=ListenerSettings)
     seeds: SeedSettings = field(default_factory=SeedSettings)
     headers: HeaderSettings = field(default_factory=HeaderSettings)
     replica_list: ReplicaListSettings = field(
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -8,7 +8,9 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from enum import StrEnum
+from typing import Protocol
 
 import httptools
 
@@ -63,9 +65,13 @@
     `read` the body.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, is_tunnelled: bool = False) -> None:
         """Start unconnected."""
         self.address = address
+        # Bytes pass another entry, whose end looks like that of the replica.
+        self.is_tunnelled = is_tunnelled
+        # Called if the peer acknowledges nothing for too long.
+        self.on_timeout: Callable[[], None] | None = None
         self.is_reused = False
         self.idle_since_s = 0.0
         self.max_idle_s = IDLE_LIMIT_S
@@ -108,6 +114,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail a response that was not complete."""
         self._is_unusable = True
+        if isinstance(error, TimeoutError) and self.on_timeout is not None:
+            self.on_timeout()
         if not self._is_complete:
             self._fail(
                 InvalidResponseError(
@@ -228,7 +236,7 @@
         self.status = 0
 
     def _is_delimited_by_end(self) -> bool:
-        return self.framing is Framing.CONNECTION_END
+        return self.framing is Framing.CONNECTION_END and not self.is_tunnelled
 
     def _limit_bytes(self) -> None:
         """Fail a response without a body in sight; hold a fast one back."""
@@ -276,14 +284,24 @@
             self.max_idle_s = min(IDLE_LIMIT_S, int(seconds) - _IDLE_MARGIN_S)
 
 
+class Dialer(Protocol):
+    """Opens connections to replicas, directly or another way."""
+
+    async def dial(
+        self, replica: str, address: str, timeout_s: float
+    ) -> ReplicaConnection:
+        """Return a new connection; raises `ConnectError`."""
+
+
 class ConnectionPool:
     """Idle connections of one entry, grouped by replica."""
 
-    __slots__ = ('_idle', 'opened')
+    __slots__ = ('_idle', 'dialer', 'opened')
 
     def __init__(self) -> None:
         """Start without connections."""
         self._idle: dict[str, list[ReplicaConnection]] = {}
+        self.dialer: Dialer | None = None
         self.opened = 0
 
     async def acquire(
@@ -296,32 +314,16 @@
             connection = idle.pop()
             idle_s = loop.time() - connection.idle_since_s
             is_within_limit = idle_s < min(max_idle_s, connection.max_idle_s)
-            is_same_address = connection.address == address
+            is_same_address = (
+                connection.is_tunnelled or connection.address == address
+            )
             if is_within_limit and is_same_address and connection.is_reusable():
                 connection.is_reused = True
                 return connection
             connection.abort()
-        return await self._open(address)
-
-    async def can_reach(self, address: str) -> bool:
-        """Tell whether a replica accepts a connection now, and close it."""
-        try:
-            connection = await self._open(address, REACHABLE_TIMEOUT_S)
-        except ConnectError:
-            return False
-        connection.abort()
-        return True
-
-    async def is_refused(self, address: str) -> bool:
-        """Tell whether nothing listens at an address now."""
-        try:
-            connection = await self._open(address, REACHABLE_TIMEOUT_S)
-        except RefusedError:
-            return True
-        except ConnectError:
-            return False
-        connection.abort()
-        return False
+        if self.dialer is None:
+            return await self.connect(address)
+        return await self.dialer.dial(replica, address, CONNECT_TIMEOUT_S)
 
     def release(self, replica: str, connection: ReplicaConnection) -> None:
         """Keep a connection for the next request, or close it."""
@@ -355,9 +357,10 @@
         for replica in list(self._idle):
             self.drop(replica)
 
-    async def _open(
+    async def connect(
         self, address: str, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> ReplicaConnection:
+        """Return a new direct connection; raises `ConnectError`."""
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self.opened += 1
--- a/snipebridge/upstreams/errors.py
+++ b/snipebridge/upstreams/errors.py
@@ -24,6 +24,12 @@
     """The connection was refused: nothing listens at the address."""
 
 
+class HelperError(ConnectError):
+    """Another entry could not tell whether it reaches a replica."""
+
+    code = 'upstream_helper'
+
+
 class ResponseTimeoutError(UpstreamError):
     """The upstream sent nothing within the time limit."""
 
