Keep brittle replicas from rejecting more than they bear

While a service is brittle each place of each replica belongs to one entry, by the order of both, so all entries together never send more than there is room for, however stale what they know is; the rest is refused at once.

Ruled out: a rate of rejections granted by the leader, which leaves a full service a few requests a second (by calculation: 6 of 360; not built).

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -63,6 +63,8 @@
     restart_s: float = 1.5
     # Requests a second that it says it takes; nothing is said if empty.
     rate_limit: str = ''
+    # Requests that it may turn away in a second; nothing is said if empty.
+    rejection_limit: str = ''
     confidence: dict[str, int] = field(default_factory=dict)
 
 
@@ -198,7 +200,8 @@
             writer.write(_head(421, [('X-Instance-Id', self.name)], 0))
             return True
         if self.faults.is_full:
-            writer.write(_head(503, [('X-Not-Executed', '1')], 0))
+            headers = [('X-Not-Executed', '1'), *self._limits()]
+            writer.write(_head(503, headers, 0))
             return True
         return False
 
@@ -310,12 +313,18 @@
             ('X-Attempt-Id', named),
             ('X-Instance-Load', f'{self.running},0,{self.slots}'),
         ]
-        if self.faults.rate_limit:
-            headers.append(('Server-Limit', self.faults.rate_limit))
+        headers.extend(self._limits())
         if not self.faults.drops_signature:
             headers.append(('X-Response-Signature', f'{self.name}.sig'))
         return headers
 
+    def _limits(self) -> list[tuple[str, str]]:
+        named = {
+            'Server-Limit': self.faults.rate_limit,
+            'Server-Brittle': self.faults.rejection_limit,
+        }
+        return [(name, text) for name, text in named.items() if text]
+
 
 class _Parsed:
     """Collects one request from the parser."""
--- a/snipebridge/relay/dependencies.py
+++ b/snipebridge/relay/dependencies.py
@@ -14,6 +14,7 @@
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.policy.tiers import TierPolicy
+from snipebridge.relay.brittle_services import BrittleServices
 from snipebridge.relay.buffers import BufferBudget
 from snipebridge.relay.crash_watch import CrashWatch
 from snipebridge.relay.messages import HeaderCodec
@@ -38,6 +39,7 @@
     prefill_speeds: PrefillSpeedEstimator
     prompts: PromptGuard
     limits: ReplicaLimits
+    brittle: BrittleServices
     crashes: CrashWatch
     retries: RetryWindow
     metrics: RelayMetrics
--- a/snipebridge/relay/filter_chain.py
+++ b/snipebridge/relay/filter_chain.py
@@ -51,6 +51,7 @@
         prefill_speeds=state.prefill_speeds,
         prompts=state.prompts,
         limits=state.limits,
+        brittle=state.brittle,
         crashes=CrashWatch(state.prompts, paths, clock, link.send_now),
         retries=RetryWindow(
             promises.retry_ratio,
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -122,6 +122,8 @@
     confidence: float | None = None
     load: tuple[int, ...] = ()
     rate_sign: RateSign = RateSign()
+    # The replica falls over if it has to reject too much.
+    is_brittle: bool = False
     is_stream: bool = False
     is_encoded: bool = False
 
@@ -228,6 +230,7 @@
             confidence=_number_or_none(confidence),
             load=_read_load(fields.get(names.load.lower(), '')),
             rate_sign=_read_rate_sign(fields.get(names.rate_limit.lower())),
+            is_brittle=names.rejection_limit.lower() in fields,
             is_stream=content_type.startswith('text/event-stream'),
             is_encoded='content-encoding' in fields,
         )
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -101,9 +101,14 @@
             self._add_sample(attempt, spent_s)
 
     def record_rate_sign(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Note whether a replica names a rate limit, also if it refused."""
+        """Note which limits a replica names, also if it refused."""
         if head.is_misdirected:
             return
+        self._dependencies.brittle.record_answer(
+            attempt.choice.replica.service,
+            head,
+            self._dependencies.clock.monotonic_s(),
+        )
         if self._dependencies.limits.record_answer(
             attempt.choice.replica.id,
             head.rate_sign,
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import grpc
 from tornado.httpserver import HTTPServer
@@ -21,6 +22,7 @@
 from snipebridge.relay.software_selection import SoftwareSelector
 from snipebridge.relay.list_fallback import ReplicaListFallback
 from snipebridge.routing.tables import CallerLimits, RoutingTable
+from snipebridge.rpc.control_pb2 import EntryMember
 from snipebridge.settings.models import ListenerSettings, Settings
 from snipebridge.settings.seeds import resolve_entry_seeds, seed_addresses
 from snipebridge.settings.watching import SettingsWatch
@@ -77,7 +79,7 @@
         self._paths.on_change = self._apply_path
         self._pool.dialer = self._paths
         self._tunnels = TunnelServer(self._paths)
-        self._reporter.on_entries = self._paths.helpers.set_peers
+        self._reporter.on_entries = self._apply_entries
         self._reporter.on_replica_removed = self._remove_replica
         self._reporter.on_table_change = self._apply_limits
         self._link: ControlLink = make_control_link(
@@ -174,6 +176,13 @@
         self._pool.close()
         await self._link.close()
 
+    def _apply_entries(self, entries: Sequence[EntryMember]) -> None:
+        self._paths.helpers.set_peers(entries)
+        staying = sorted(one.name for one in entries if not one.leaving)
+        name = self._settings.process.name
+        if name in staying:
+            self._state.brittle.set_position(staying.index(name), len(staying))
+
     def _remove_replica(self, replica: str) -> None:
         self._paths.forget(replica)
         self._pool.drop(replica)
--- a/snipebridge/relay/replica_placement.py
+++ b/snipebridge/relay/replica_placement.py
@@ -46,6 +46,7 @@
         '_prefill_speeds',
         '_rng',
         '_software',
+        '_brittle',
         '_limits',
     )
 
@@ -60,6 +61,7 @@
         self._replicas = state.replicas
         self._software = state.software
         self._limits = state.limits
+        self._brittle = state.brittle
         self._prefill_speeds = state.prefill_speeds
         self._clock = clock
         self._rng = rng
@@ -76,6 +78,9 @@
         now_s = self._clock.monotonic_s()
         eligible = self._candidates(exchange, service, excluded, now_s)
         candidates = self._limits.usable(eligible, now_s)
+        candidates = self._brittle.usable(
+            service, candidates, self._replicas.available_for(service), now_s
+        )
         shape = prompt_shape(exchange, model)
         speed = self._prefill_speeds.speed(model)
         loads = [
--- a/snipebridge/settings/models.py
+++ b/snipebridge/settings/models.py
@@ -75,6 +75,8 @@
     confidence: str = 'Snipebridge-Confidence'
     # Requests a second that a replica in need takes from all entries together.
     rate_limit: str = 'Snipebridge-Rate-Limit'
+    # Rejections a second above which the replica falls over.
+    rejection_limit: str = 'Snipebridge-Rejection-Limit'
     # Further headers that only the system may send to a replica.
     reserved: list[str] = field(default_factory=list)
 
--- a/tests/relay/running_entry.py
+++ b/tests/relay/running_entry.py
@@ -47,6 +47,7 @@
     load='X-Instance-Load',
     confidence='X-Confidence',
     rate_limit='Server-Limit',
+    rejection_limit='Server-Brittle',
     reserved=['X-Pin-Ms', 'Kv-From'],
 )
 
--- a/tests/relay/test_replica_limits.py
+++ b/tests/relay/test_replica_limits.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from snipebridge.fleet.loads import make_load_order
 from snipebridge.fleet.rate_limits import FleetRateLimits
 from snipebridge.fleet.state import RoutedState
 from snipebridge.relay.messages import RateSign, RelayRequest
@@ -24,6 +25,7 @@
 ANSWER_S = 0.1
 REPLICAS = [f'r{number}' for number in range(6)]
 LISTED = [ListedReplica(id=one, service='s', address=one) for one in REPLICAS]
+ORDER = make_load_order(1, REPLICAS)
 # Least requests a second to each replica, without a limit; an entry of a
 # large fleet has one a second.
 DEMAND_PER_S = 6.0
@@ -53,6 +55,7 @@
             SoftwareSelector(5.0), limits=ReplicaLimits(rng)
         )
         self.state.replicas.update_list(LISTED, 0.0, 0.0)
+        self.state.replicas.edition = ORDER.edition
         self.reporter = RelayReporter(self.state, self.fleet)
         self.reporter.entry_count = self.fleet.count
         self.placer = ReplicaPlacer(self.state, self.fleet, rng, '')
@@ -68,6 +71,10 @@
         self.fleet.leader.rate_limits.add_reply(
             request, reply, self.fleet.now_s
         )
+        loads = self.fleet.leader.loads.of_others(
+            self.name, ORDER, self.fleet.now_s
+        )
+        reply.replica_loads.CopyFrom(loads)
         self.reporter.apply_reply(reply)
 
     def place(self):
