Search for the cause of crashes only where something new is known

The leader searched anew five times a second, also without news, for the two minutes that crashes count. The new test counts 100 scorings in 50 rounds without news before, at most 12 now.

--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -71,6 +71,8 @@
 ANSWER_S = 1.0
 # How long after a crash the entries are told of it.
 TELL_S = 4.0
+# Without news crashes only grow old; that is looked at this often.
+_SEARCH_S = 2.0
 _MAX_CRASHES = 256
 _MAX_SUSPECTED = 32
 
@@ -132,6 +134,23 @@
     asked_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class _Search:
+    """What a search was made from, and when."""
+
+    news: int
+    quarantined: frozenset[SharedPart]
+    known: frozenset[SharedPart]
+    searched_s: float
+
+    def is_like(self, other: '_Search') -> bool:
+        return (self.news, self.quarantined, self.known) == (
+            other.news,
+            other.quarantined,
+            other.known,
+        )
+
+
 @dataclass(slots=True)
 class PromptCrashes:
     """Lost replicas with the runs that all entries report of them."""
@@ -140,6 +159,9 @@
     # What each entry told last, by part.
     _sound: dict[SharedPart, dict[str, SoundRuns]] = field(default_factory=dict)
     _questions: dict[SharedPart, Question] = field(default_factory=dict)
+    # Counts what was learned, so that nothing is searched without news.
+    _news: int = 0
+    _last_search: _Search | None = None
     # What explains the crashes, as of the last search.
     _explanations: list[_Score] = field(default_factory=list)
 
@@ -151,13 +173,18 @@
         """Add a run that an entry reports, once however often it does."""
         crash = self._crash(suspect.replica, suspect.lost_s)
         known = crash.suspects.get(suspect.run.request)
-        if known is None or suspect.has_begun >= known.has_begun:
+        if known is None or suspect.has_begun > known.has_begun:
             crash.suspects[suspect.run.request] = suspect
+            self._news += 1
 
     def take_sound(self, entry: str, part: SharedPart, runs: SoundRuns) -> None:
         """Note how many runs with a part were sound at an entry."""
-        if part in self._questions:
-            self._sound.setdefault(part, {})[entry] = runs
+        if part not in self._questions:
+            return
+        told = self._sound.setdefault(part, {})
+        if told.get(entry) != runs:
+            told[entry] = runs
+            self._news += 1
 
     def recent_losses(self, now_s: float) -> list[tuple[str, float]]:
         """Return the replicas lost lately, and when."""
@@ -182,6 +209,8 @@
         ``quarantined`` are kept from replicas already, and ``known`` were
         found before.
         """
+        if self._is_settled(quarantined, known, now_s):
+            return []
         self._discard_old(now_s)
         self._ask(known, now_s)
         found: list[FoundPart] = []
@@ -200,6 +229,27 @@
             best = self._best(crashes, known)
         return found
 
+    def _is_settled(
+        self,
+        quarantined: Collection[SharedPart],
+        known: Collection[SharedPart],
+        now_s: float,
+    ) -> bool:
+        """Tell whether a search would find what the last one did."""
+        search = _Search(
+            self._news, frozenset(quarantined), frozenset(known), now_s
+        )
+        last = self._last_search
+        if last is not None and search.is_like(last):
+            waits = any(
+                last.searched_s < one.asked_s + ANSWER_S
+                for one in self.questions()
+            )
+            if not waits and now_s - last.searched_s < _SEARCH_S:
+                return True
+        self._last_search = search
+        return False
+
     def explained_otherwise(
         self, quarantined: Collection[SharedPart]
     ) -> list[SharedPart]:
@@ -298,6 +348,7 @@
                 return crash
         crash = _Crash(replica, lost_s)
         self._crashes.append(crash)
+        self._news += 1
         return crash
 
     def _discard_old(self, now_s: float) -> None:
--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from snipebridge.policy import prompt_crashes
 from snipebridge.policy.prompt_crashes import (
     ANSWER_S,
     PromptCrashes,
@@ -452,3 +453,17 @@
     assert crashes.explained_otherwise([bystander]) == [bystander]
     assert not crashes.find([SAME], (), 3.0)
     assert not crashes.explained_otherwise([SAME])
+
+
+def test_nothing_is_searched_anew_without_news(monkeypatch):
+    """The leader looks several times a second, for minutes after crashes."""
+    crashes = PromptCrashes()
+    for number in range(4):
+        lose(crashes, number, run_of('same', attempt=f'a{number}'))
+    scored = []
+    monkeypatch.setattr(
+        prompt_crashes, '_scores', lambda one: scored.append(one) or {}
+    )
+    for step in range(50):
+        crashes.find((), (), 10.0 + step * 0.2)
+    assert len(scored) <= 2 * 6
