--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -118,6 +118,7 @@
 
     def record_head(self, attempt: Attempt) -> None:
         """Note that a replica has begun to answer."""
+        self._dependencies.paths.record_answer(attempt.choice.replica.id)
         self._dependencies.crashes.record_began(attempt, self._exchange)
 
     def record_dropped(self, attempt: Attempt) -> None:
--- a/snipebridge/relay/paths.py
+++ b/snipebridge/relay/paths.py
@@ -43,6 +43,7 @@
         '_pool',
         '_reached_s',
         '_registry',
+        '_rng',
         'helpers',
         'on_change',
     )
@@ -59,6 +60,7 @@
         self._registry = registry
         self._pool = pool
         self._clock = clock
+        self._rng = rng
         self._paths = ReplicaPaths(data_centre, rng)
         self.helpers = Helpers(self._paths, clock)
         self._reached_s = float('-inf')
@@ -87,10 +89,28 @@
         listed = self._registry.by_id.get(replica)
         return listed.address if listed else ''
 
-    def reaches_replicas(self) -> bool:
-        """Tell whether this entry has lately reached replicas directly."""
+    async def reaches_replicas(self) -> bool:
+        """Tell whether this entry reaches some replica directly.
+
+        One that has not used any lately tries a few of them.
+        """
+        if self._paths.indirect:
+            return False
         age_s = self._clock.monotonic_s() - self._reached_s
-        return age_s < _REACHED_VALID_S and not self._paths.indirect
+        if age_s < _REACHED_VALID_S:
+            return True
+        names = list(self._registry.by_id)
+        some = self._rng.sample(names, min(CUT_THRESHOLD, len(names)))
+        return any(
+            await asyncio.gather(
+                *(self._is_direct(name, _SLOW_CONNECT_S) for name in some)
+            )
+        )
+
+    def record_answer(self, replica: str) -> None:
+        """Note that a replica has begun to answer."""
+        if not self._paths.is_indirect(replica):
+            self._reached_s = self._clock.monotonic_s()
 
     # What the pool asks.
 
@@ -219,12 +239,14 @@
                     self._record_cut(name, 'all ways that were checked are cut')
                 return
 
-    async def _is_direct(self, replica: str) -> bool:
+    async def _is_direct(
+        self, replica: str, timeout_s: float = REACHABLE_TIMEOUT_S
+    ) -> bool:
         address = self.address_of(replica)
         if not address:
             return False
         try:
-            connection = await self._pool.connect(address, REACHABLE_TIMEOUT_S)
+            connection = await self._pool.connect(address, timeout_s)
         except ConnectError:
             return False
         self._reached(replica, connection).abort()
--- a/snipebridge/relay/tunnelling.py
+++ b/snipebridge/relay/tunnelling.py
@@ -11,7 +11,7 @@
 from snipebridge.upstreams.tunnels import open_tunnel
 
 # How long a helper may take, and how many are asked at a time and in turn.
-_HELPER_TIMEOUT_S = 0.25
+_HELPER_TIMEOUT_S = 0.35
 _HELPERS_AT_ONCE = 2
 _HELPER_ROUNDS = 3
 
@@ -105,6 +105,7 @@
                 replica,
                 lambda: ReplicaConnection(address, is_tunnelled=True),
                 _HELPER_TIMEOUT_S,
+                _host(self.own_address),
             )
         except HelperError:
             self._paths.record_helper_failed(helper, self._clock.monotonic_s())
--- a/snipebridge/upstreams/tunnels.py
+++ b/snipebridge/upstreams/tunnels.py
@@ -41,8 +41,8 @@
     def address_of(self, replica: str) -> str:
         """Return host:port of a listed replica, empty for another one."""
 
-    def reaches_replicas(self) -> bool:
-        """Tell whether this entry has lately reached replicas directly."""
+    async def reaches_replicas(self) -> bool:
+        """Tell whether this entry reaches some replica directly."""
 
 
 class _Pipe(asyncio.Protocol):
@@ -193,7 +193,7 @@
         if address:
             with contextlib.suppress(OSError, TimeoutError):
                 return await _connect(address), HTTPStatus.OK
-        if self._target.reaches_replicas():
+        if await self._target.reaches_replicas():
             return None, HTTPStatus.BAD_GATEWAY
         return None, HTTPStatus.SERVICE_UNAVAILABLE
 
@@ -235,9 +235,11 @@
     replica: str,
     make_protocol: Callable[[], asyncio.Protocol],
     timeout_s: float,
+    own_host: str = '',
 ) -> asyncio.Protocol:
     """Return a protocol that is connected to a replica through a helper.
 
+    ``own_host`` is the address by which the helper knows this entry.
     Raises `ConnectError` if the helper says that the replica can't be reached,
     and `HelperError` if it can't tell.
     """
@@ -247,7 +249,10 @@
     try:
         async with asyncio.timeout(timeout_s):
             transport, handshake = await loop.create_connection(
-                _Handshake, host, int(port)
+                _Handshake,
+                host,
+                int(port),
+                local_addr=(own_host, 0) if own_host else None,
             )
             target = f'{replica}:{_PORT}'
             request = f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n\r\n'
