Score the suspects of crashes once for each search

Whether a held one is sound, or explained otherwise, scored all crashes anew for each held part five times a second, also without news. Both use the scores of the last search now.

--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -162,7 +162,8 @@
     # Counts what was learned, so that nothing is searched without news.
     _news: int = 0
     _last_search: _Search | None = None
-    # What explains the crashes, as of the last search.
+    # All suspects, and what explains the crashes, as of the last search.
+    _scores: dict[SharedPart, _Score] = field(default_factory=dict)
     _explanations: list[_Score] = field(default_factory=list)
 
     def take_loss(self, replica: str, lost_s: float) -> None:
@@ -212,6 +213,7 @@
         if self._is_settled(quarantined, known, now_s):
             return []
         self._discard_old(now_s)
+        self._scores = _scores(self._crashes)
         self._ask(known, now_s)
         found: list[FoundPart] = []
         self._explanations = []
@@ -255,13 +257,12 @@
     ) -> list[SharedPart]:
         """Return held parts whose crashes have a clearly better explanation."""
         explaining = {one.part for one in self._explanations}
-        scores = _scores(self._crashes)
         return [
             part
             for part in quarantined
-            if part in scores
+            if part in self._scores
             and part not in explaining
-            and self._is_explained(scores[part])
+            and self._is_explained(self._scores[part])
         ]
 
     def _is_explained(self, score: _Score) -> bool:
@@ -278,13 +279,13 @@
 
     def is_sound(self, part: SharedPart) -> bool:
         """Tell whether too many runs with a part were sound to suspect it."""
-        score = _scores(self._crashes).get(part)
+        score = self._scores.get(part)
         return score is not None and not self._may_be_cause(part, score)
 
     def _ask(self, known: Collection[SharedPart], now_s: float) -> None:
         scores = {
             part: score
-            for part, score in _scores(self._crashes).items()
+            for part, score in self._scores.items()
             if score.weight >= _ASK_WEIGHT or part in known
         }
         heaviest = sorted(
