--- a/snipebridge/relay/paths.py
+++ b/snipebridge/relay/paths.py
@@ -12,8 +12,8 @@
 from snipebridge.clock import Clock
 from snipebridge.logs import log_decision
 from snipebridge.policy.replica_paths import CUT_THRESHOLD, ReplicaPaths
-from snipebridge.relay.tunnelling import Helpers
 from snipebridge.relay.replicas import ReplicaRegistry
+from snipebridge.relay.tunnelling import Helpers, abort_unused
 from snipebridge.upstreams.connections import (
     REACHABLE_TIMEOUT_S,
     ConnectionPool,
@@ -123,7 +123,7 @@
         direct = asyncio.create_task(self._pool.connect(address, timeout_s))
         try:
             await asyncio.wait({direct}, timeout=_SLOW_CONNECT_S)
-            if direct.done() and direct.exception() is None:
+            if _has_result(direct):
                 return self._reached(replica, direct.result())
             return await self._dial_both(replica, direct)
         finally:
@@ -167,17 +167,22 @@
     async def _dial_both(
         self, replica: str, direct: asyncio.Task[ReplicaConnection]
     ) -> ReplicaConnection:
-        """Return a connection through a helper, or the direct one."""
+        """Return the first connection, through a helper or the direct one."""
+        helped = asyncio.create_task(self.helpers.connect(replica))
         try:
-            connection = await self.helpers.connect(replica)
+            await _wait_for_one(direct, helped)
+            if _has_result(direct):
+                helped.add_done_callback(abort_unused)
+                return self._reached(replica, direct.result())
+            connection = await helped
         except HelperError as error:
             return await self._after_helpers(replica, direct, error)
         except ConnectError:
             # Helpers confirm that it is gone, if it refuses at all.
             return self._reached(replica, await direct)
-        if direct.done() and direct.exception() is None:
-            connection.abort()
-            return self._reached(replica, direct.result())
+        finally:
+            if not helped.done():
+                helped.cancel()
         self._record_cut(replica, 'the direct connection failed')
         self._start('', self._check_others())
         return connection
@@ -291,5 +296,22 @@
         task.add_done_callback(lambda _: self._checks.pop(name, None))
 
 
+async def _wait_for_one(
+    direct: asyncio.Task[ReplicaConnection],
+    helped: asyncio.Task[ReplicaConnection],
+) -> None:
+    """Wait until there is a connection, or the helpers have none."""
+    if not direct.done():
+        await asyncio.wait(
+            {direct, helped}, return_when=asyncio.FIRST_COMPLETED
+        )
+    if not _has_result(direct):
+        await asyncio.wait({helped})
+
+
+def _has_result(task: asyncio.Task[ReplicaConnection]) -> bool:
+    return task.done() and task.exception() is None
+
+
 def _do_nothing(_: str) -> None:
     """Stand in for a callback that the process has not set yet."""
--- a/snipebridge/relay/tunnelling.py
+++ b/snipebridge/relay/tunnelling.py
@@ -91,7 +91,7 @@
             for task in tasks:
                 if task is not winner:
                     task.cancel()
-                    task.add_done_callback(_abort_unused)
+                    task.add_done_callback(abort_unused)
         if winner is not None:
             return winner.result(), False
         errors = [task.exception() for task in tasks]
@@ -118,8 +118,8 @@
     return task.exception() is None
 
 
-def _abort_unused(task: asyncio.Task[ReplicaConnection]) -> None:
-    """Close the connection of a helper that came second."""
+def abort_unused(task: asyncio.Task[ReplicaConnection]) -> None:
+    """Close a connection that came second."""
     if not task.cancelled() and task.exception() is None:
         task.result().abort()
 
--- a/tests/relay/test_cut_entries.py
+++ b/tests/relay/test_cut_entries.py
@@ -1,13 +1,18 @@
 """An entry that reaches no replica, beside one that does."""
 
 import asyncio
+import random
 from contextlib import AsyncExitStack
+from types import SimpleNamespace
 
 import pytest
 
 from fakes.cut_link import NEW_REFUSED, RESET, SILENT, CutLink
 from fakes.platform_caller import CHAT_HEADERS
 from fakes.platform_replica import PlatformReplica
+from snipebridge.clock import SystemClock
+from snipebridge.relay.paths import PathFinder
+from snipebridge.relay.replicas import ReplicaRegistry
 from snipebridge.rpc.control_pb2 import EntryMember
 from tests.relay.running_entry import RunningEntry
 
@@ -139,6 +144,36 @@
     run(scenario)
 
 
+class SlowPool:
+    """Connects to every replica after a while."""
+
+    async def connect(self, address, timeout_s):
+        """Return a stand-in of a connection."""
+        await asyncio.sleep(0.2)
+        return SimpleNamespace(address=address, on_timeout=None)
+
+
+def test_helper_that_does_not_answer_holds_no_slow_connection_back():
+    """The direct one comes after 0.2 s, the helper never."""
+
+    async def scenario():
+        silent = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+        address = f'127.0.0.1:{silent.sockets[0].getsockname()[1]}'
+        paths = PathFinder(
+            ReplicaRegistry(), SlowPool(), SystemClock(), random.Random(1), 'a'
+        )
+        paths.helpers.set_peers([EntryMember(name='e', address=address)])
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        connection = await paths.dial('r1', 'here:1', 1.0)
+        assert connection.address == 'here:1'
+        assert loop.time() - started_s < 0.3
+        assert not paths.indirect_count
+        silent.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 5))
+
+
 def test_stream_of_a_replica_that_is_silent_for_a_second_stays_there():
     """It goes on, and nothing has crashed or is cut."""
 
