--- a/tests/relay/running_entry.py
+++ b/tests/relay/running_entry.py
@@ -106,8 +106,10 @@
         *replicas: PlatformReplica,
         document=None,
         retry_slack: float = 50.0,
+        owns_replicas: bool = True,
     ) -> None:
-        """Take replicas that are not started yet."""
+        """Take replicas, which another entry starts if this one does not."""
+        self.owns_replicas = owns_replicas
         self.retry_slack = retry_slack
         self.replicas = list(replicas)
         self.control = FakeControl()
@@ -117,7 +119,7 @@
 
     async def __aenter__(self):
         """Start everything and wait until the entry is ready."""
-        for replica in self.replicas:
+        for replica in self.replicas if self.owns_replicas else ():
             await replica.start()
         self.control.set_replicas(self.replicas)
         control_pb2_grpc.add_ControlServicer_to_server(
@@ -144,7 +146,7 @@
         """Stop everything."""
         await self.process.close()
         await self._server.stop(0)
-        for replica in self.replicas:
+        for replica in self.replicas if self.owns_replicas else ():
             await replica.stop()
 
     async def wait_until(self, condition, limit_s=5.0) -> None:
--- a/tests/relay/test_cut_entries.py
+++ b/tests/relay/test_cut_entries.py
@@ -25,8 +25,9 @@
 class Pair:
     """One entry whose ways to all replicas can be cut, and a sound one."""
 
-    def __init__(self):
+    def __init__(self, *, has_two_helpers=False):
         """Start nothing yet."""
+        self.has_two_helpers = has_two_helpers
         self.replicas = [
             PlatformReplica(f'm{number}', 'models', '127.0.0.1', events=30)
             for number in range(3)
@@ -36,19 +37,22 @@
         ]
         self.links = [CutLink(one) for one in self.replicas]
         self.sound = RunningEntry(*self.replicas)
+        self.other_sound = RunningEntry(*self.replicas, owns_replicas=False)
         self.cut_off = RunningEntry(*self.links)
         self._tasks = []
         self._stack = AsyncExitStack()
 
     async def __aenter__(self):
-        """Start both entries and let them know each other."""
-        await self._stack.enter_async_context(self.sound)
-        await self._stack.enter_async_context(self.cut_off)
-        both = (('e-sound', self.sound), ('e-cut', self.cut_off))
-        for _, entry in both:
-            for name, other in both:
+        """Start the entries and let them know each other."""
+        entries = [self.sound, self.cut_off]
+        if self.has_two_helpers:
+            entries.append(self.other_sound)
+        for entry in entries:
+            await self._stack.enter_async_context(entry)
+        for entry in entries:
+            for number, other in enumerate(entries):
                 member = EntryMember(
-                    name=name,
+                    name=f'e{number}',
                     data_centre='a',
                     address=other.control.requests[-1].address,
                 )
@@ -112,12 +116,12 @@
             return await self.sound.request('/none/')
 
 
-def run(scenario):
-    """Run a scenario with a pair of entries."""
+def run(scenario, **options):
+    """Run a scenario with a pair of entries, and another where asked for."""
 
     async def session():
         async with asyncio.timeout(40):
-            async with Pair() as pair:
+            async with Pair(**options) as pair:
                 await scenario(pair)
 
     asyncio.run(session())
@@ -144,6 +148,26 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('form', [SILENT, RESET])
+def test_entry_goes_on_when_its_helper_ends(form):
+    """Another one helps, and streams under way are resumed."""
+
+    async def scenario(pair):
+        await pair.play(0.5)
+        await pair.cut(form)
+        await pair.play(CONNECTIVITY_S)
+        used = max(
+            (pair.sound, pair.other_sound),
+            key=lambda one: one.process._tunnels.open_tunnels,
+        )
+        assert used.process._tunnels.open_tunnels
+        used.process._tunnels.close()
+        during = await pair.play(2.0)
+        assert await pair.served(during) > 0.95
+
+    run(scenario, has_two_helpers=True)
+
+
 class SlowPool:
     """Connects to every replica after a while."""
 
