Report answers of versions by route, with their times, and log them

Change: entries report counts by route and model and histograms of times, what changed in each heartbeat and all in every fifth; the leader keeps the sums and logs them with each step. Decisions use the same sums as before. Conclusion: what a version is compared with can be read from one line.

--- a/snipebridge/fleet/software.py
+++ b/snipebridge/fleet/software.py
@@ -10,17 +10,24 @@
 from snipebridge.fleet.evidence import SoftwareEvidence
 from snipebridge.logs import log_decision
 from snipebridge.policy.software_rollouts import (
-    RecordWindow,
     RolloutBounds,
     RolloutStep,
     RolloutView,
-    VersionRecord,
     decide,
 )
+from snipebridge.policy.version_records import (
+    RecordWindow,
+    Stratum,
+    StratumCounts,
+    VersionRecord,
+    median_s,
+)
 from snipebridge.rpc.commands_pb2 import Command, SoftwareRolloutCommand
 from snipebridge.rpc.control_pb2 import ListedReplica
 
 _MS_PER_S = 1000
+# A line tells of the routes with the most answers only.
+_LOGGED_STRATA = 12
 
 
 class SoftwareDuty:
@@ -158,4 +165,40 @@
         others_failed=view.others.failed,
         others_slow=view.others.slow,
         others_untimed=view.others.untimed,
+        strata=_describe_strata(view),
     )
+
+
+def _describe_strata(view: RolloutView) -> list[dict]:
+    """Return what was compared, by route and model."""
+    target, others = view.target.strata, view.others.strata
+    answered = {
+        one: _counts(target, one).answered + _counts(others, one).answered
+        for one in (*target, *others)
+    }
+    most = sorted(answered, key=answered.__getitem__, reverse=True)
+    return [
+        {
+            'route': one.route,
+            'model': one.model,
+            'target': _describe(_counts(target, one)),
+            'others': _describe(_counts(others, one)),
+        }
+        for one in most[:_LOGGED_STRATA]
+    ]
+
+
+def _counts(
+    strata: dict[Stratum, StratumCounts], stratum: Stratum
+) -> StratumCounts:
+    return strata.get(stratum) or StratumCounts()
+
+
+def _describe(counts: StratumCounts) -> dict:
+    return {
+        'answered': counts.answered,
+        'failed': counts.failed,
+        'timed': counts.timed,
+        'late': counts.late,
+        'median_ms': round(median_s(counts.times, 1) * _MS_PER_S, 2),
+    }
--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -13,10 +13,10 @@
 """
 
 import math
-from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from snipebridge.policy.binomial import binomial_tail
+from snipebridge.policy.version_records import VersionRecord
 
 ACTIVE = 'active'
 COMPLETED = 'completed'
@@ -71,40 +71,6 @@
 _MAX_GOOD_SHARE = 0.45
 
 
-@dataclass(slots=True)
-class VersionRecord:
-    """Counts of the requests to one software version."""
-
-    answered: int = 0
-    failed: int = 0
-    slow: int = 0
-    # Includes requests that have not been answered yet.
-    sent: int = 0
-    # Answers whose time says nothing, such as streams of few events.
-    untimed: int = 0
-
-    @property
-    def timed(self) -> int:
-        """Answers that are known to be slow or not."""
-        return self.answered - self.untimed
-
-    def add(self, other: 'VersionRecord') -> None:
-        """Add the counts of another version or entry."""
-        self.answered += other.answered
-        self.failed += other.failed
-        self.slow += other.slow
-        self.sent += other.sent
-        self.untimed += other.untimed
-
-    def failure_share(self) -> float:
-        """Return the share of failed answers, or 0 without answers."""
-        return self.failed / self.answered if self.answered else 0.0
-
-    def slow_share(self) -> float:
-        """Return the share of slow ones among the timed answers, or 0."""
-        return self.slow / self.timed if self.timed else 0.0
-
-
 @dataclass(slots=True)
 class RolloutView:
     """Inputs of the decision on one roll-out."""
@@ -123,46 +89,6 @@
     others: VersionRecord = field(default_factory=VersionRecord)
 
 
-class RecordWindow:
-    """Sliding window over the cumulative counts of a version.
-
-    >>> recent = RecordWindow()
-    >>> recent.add(VersionRecord(answered=10), now_s=0.0).answered
-    10
-    >>> recent.add(VersionRecord(answered=14), now_s=9.0).answered
-    4
-    """
-
-    __slots__ = ('_samples',)
-
-    # Long enough for several failures at a small share of the traffic.
-    _window_s = 2.0
-
-    def __init__(self) -> None:
-        """Start with an empty window."""
-        self._samples: deque[tuple[float, VersionRecord]] = deque()
-
-    def add(self, record: VersionRecord, now_s: float) -> VersionRecord:
-        """Add the cumulative counts; return those within the window."""
-        samples = self._samples
-        samples.append((now_s, replace(record)))
-        while len(samples) > 1 and samples[1][0] <= now_s - self._window_s:
-            samples.popleft()
-        first_s, first = samples[0]
-        if first_s > now_s - self._window_s:
-            return replace(record)
-        recent = VersionRecord(
-            record.answered - first.answered,
-            record.failed - first.failed,
-            record.slow - first.slow,
-            record.sent - first.sent,
-            record.untimed - first.untimed,
-        )
-        # An answer counted before the window may have turned slow in it.
-        recent.slow = min(recent.timed, recent.slow)
-        return recent
-
-
 @dataclass(slots=True, frozen=True)
 class RolloutBounds:
     """Limits set by the operators for a version on trial."""
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -35,6 +35,7 @@
         '_prefill_speeds',
         '_pool',
         'choice',
+        'counted_s',
         'head',
         'head_s',
         'is_counted',
@@ -73,6 +74,8 @@
         )
         # Whether the outcome is already counted for the software version.
         self.is_counted = False
+        # The time that it was counted with, 0 without one.
+        self.counted_s = 0.0
         self.was_late = False
         choice.replica.running += 1
         choice.replica.backlog_ms += self._backlog_ms
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -3,11 +3,13 @@
 from snipebridge.clock import elapsed_ms
 from snipebridge.logs import log_decision
 from snipebridge.policy.latency_baseline import EventIntervals, LatencyBaseline
+from snipebridge.policy.version_records import Stratum
 from snipebridge.relay.attempt_limits import AttemptLimits
 from snipebridge.relay.attempts import Attempt, is_server_failure
 from snipebridge.relay.dependencies import ForwardDependencies
 from snipebridge.relay.exchange import RelayExchange
 from snipebridge.relay.messages import ResponseHead
+from snipebridge.routing.tables import Route, RouteKind
 from snipebridge.upstreams.errors import (
     ConnectError,
     ResponseTimeoutError,
@@ -91,11 +93,13 @@
         is_slow = self._exceeds(attempt, spent_s)
         if attempt.is_counted and is_slow:
             self._record_slow_body(attempt)
+        self._record_new_time(attempt, spent_s)
         self._count_for_version(
             attempt,
             failed=failed,
             slow=is_slow,
             is_timed=self._is_comparable(attempt, spent_s),
+            spent_s=_fleet_time_s(self._exchange.route, attempt, spent_s),
         )
         self._log(attempt, 'answered')
         if spent_s and not failed:
@@ -181,20 +185,35 @@
         failed: bool,
         slow: bool,
         is_timed: bool = True,
+        spent_s: float = 0.0,
     ) -> None:
         """Count an attempt for its software version, at most once."""
         if attempt.is_counted:
             return
         attempt.is_counted = True
+        attempt.counted_s = spent_s
         attempt.was_late = attempt.was_late or slow
         if self._dependencies.software.record_outcome(
             attempt.choice.replica,
             failed=failed,
             slow=slow,
             is_timed=is_timed,
+            stratum=_stratum(self._exchange.route, attempt),
+            spent_s=spent_s,
         ):
             self._dependencies.report_now()
 
+    def _record_new_time(self, attempt: Attempt, spent_s: float) -> None:
+        """Correct the time of a stream that was counted while it ran."""
+        if attempt.counted_s and spent_s:
+            self._dependencies.software.record_new_time(
+                attempt.choice.replica,
+                _stratum(self._exchange.route, attempt),
+                attempt.counted_s,
+                spent_s,
+            )
+            attempt.counted_s = spent_s
+
     def _record_slow_body(self, attempt: Attempt) -> None:
         """Count a counted attempt as slow, at most once."""
         if not attempt.was_late:
@@ -210,12 +229,18 @@
         if not self._intervals.is_early_look_due:
             return
         interval_s = self._spent_s(attempt)
-        if not self._is_comparable(attempt, interval_s):
+        if not interval_s:
             return
         is_slow = self._exceeds(attempt, interval_s)
         if attempt.is_counted and is_slow:
             self._record_slow_body(attempt)
-        self._count_for_version(attempt, failed=False, slow=is_slow)
+        self._count_for_version(
+            attempt,
+            failed=False,
+            slow=is_slow,
+            is_timed=self._is_comparable(attempt, interval_s),
+            spent_s=interval_s,
+        )
 
     def _is_comparable(self, attempt: Attempt, spent_s: float) -> bool:
         return spent_s > 0 and self._baseline(attempt).has_samples(
@@ -302,3 +327,17 @@
             ],
             resumed_after=self._exchange.progress.last_event_id,
         )
+
+
+def _stratum(route: Route, attempt: Attempt) -> Stratum:
+    is_stream = route.kind is RouteKind.STREAMING
+    return Stratum(route.name, attempt.choice.model, is_stream)
+
+
+def _fleet_time_s(route: Route, attempt: Attempt, spent_s: float) -> float:
+    """Return the time that the fleet compares, 0 if there is none.
+
+    A route of streams may be answered by a whole body, such as an error.
+    """
+    is_stream = route.kind is RouteKind.STREAMING
+    return spent_s if attempt.head.is_stream == is_stream else 0.0
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -66,7 +66,7 @@
         request.routing_version = self.table.version
         request.reads_packed_routing = True
         request.replicas_edition = self._replicas.edition
-        request.software_outcomes.extend(self._software.outcomes())
+        request.software_outcomes.extend(self._software.pop_outcomes())
         request.replica_uses.extend(self._replicas.local_usage())
         request.replica_paces.extend(self._replicas.pop_stated_paces())
         request.pinned_draws.extend(self._software.pop_pinned_draws())
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -22,14 +22,15 @@
     COMPLETED,
     REVERTED,
 )
+from snipebridge.fleet.evidence import write_stratum
 from snipebridge.logs import log_decision
 from snipebridge.policy.canary_exposure import CanaryExposure
 from snipebridge.policy.software_rollouts import (
     TAKEOVER_SLOW_SHARE,
     WHOLE_PERMILLE,
-    VersionRecord,
     find_fault,
 )
+from snipebridge.policy.version_records import Stratum, VersionRecord
 from snipebridge.relay.replicas import Replica
 from snipebridge.rpc.control_pb2 import SoftwareOutcome, SoftwareRollout
 
@@ -39,6 +40,12 @@
 # No canary share exceeds this, so only sessions whose hash is below it are
 # reported to other entries.
 _MAX_CANARY_PERMILLE = 600
+# Further strata of a version are counted as one, so that reports stay short.
+_MAX_STRATA = 64
+# Each report has the strata that changed, and one of so many has all: a report
+# may be lost, and a new leader knows none.
+_WHOLE_REPORT_INTERVAL = 5
+_WHOLE = Stratum()
 # Stands for the version that another entry's session uses beside the target.
 _OTHER_SOFTWARE = 'another version'
 # With a larger backlog the canary replica makes callers wait longer than
@@ -67,8 +74,39 @@
     number: int
     exposure: CanaryExposure
     records: dict[str, VersionRecord] = field(default_factory=dict)
+    # Strata that changed since the last report, with their version.
+    changed: set[tuple[str, Stratum]] = field(default_factory=set)
+    report_count: int = 0
     is_stopped: bool = False
 
+    def mark(self, software: str, stratum: Stratum) -> Stratum:
+        """Return where an answer is counted, to be reported next."""
+        strata = self.records[software].strata
+        if stratum not in strata and len(strata) >= _MAX_STRATA:
+            stratum = Stratum(is_stream=stratum.is_stream)
+        self.changed.add((software, stratum))
+        return stratum
+
+    def pop_outcomes(self, service: str) -> list[SoftwareOutcome]:
+        """Return the sums of each version, with the strata to report now."""
+        is_whole = self.report_count % _WHOLE_REPORT_INTERVAL == 0
+        self.report_count += 1
+        changed, self.changed = self.changed, set()
+        return [
+            _outcome(
+                service,
+                software,
+                self.number,
+                record,
+                [
+                    stratum
+                    for stratum in record.strata
+                    if is_whole or (software, stratum) in changed
+                ],
+            )
+            for software, record in self.records.items()
+        ]
+
 
 class SoftwareSelector:
     """Tracks roll-outs, pinned sessions and request outcomes by version."""
@@ -255,19 +293,26 @@
         failed: bool,
         slow: bool,
         is_timed: bool = True,
+        stratum: Stratum = _WHOLE,
+        spent_s: float = 0.0,
     ) -> bool:
-        """Count a response; tell whether this entry stops the target now."""
+        """Count a response; tell whether this entry stops the target now.
+
+        `spent_s` is what the fleet compares, 0 if it is not known.
+        """
         record = self._record(replica)
         if record is None:
             return False
-        record.answered += 1
-        record.failed += failed
-        record.slow += slow
-        record.untimed += not is_timed
         service = replica.service
-        return self._stop_if_bad(
-            self._rollouts[service], self._observations[service]
+        observation = self._observations[service]
+        record.count(
+            observation.mark(replica.software, stratum),
+            failed=failed,
+            slow=slow,
+            is_timed=is_timed,
+            spent_s=spent_s,
         )
+        return self._stop_if_bad(self._rollouts[service], observation)
 
     def record_slow_body(self, replica: Replica) -> None:
         """Count a response that started in time but continued slowly."""
@@ -275,22 +320,26 @@
         if record is not None:
             record.slow += 1
 
-    def outcomes(self) -> list[SoftwareOutcome]:
-        """Return the totals of each active roll-out since it was ordered."""
+    def record_new_time(
+        self,
+        replica: Replica,
+        stratum: Stratum,
+        before_s: float,
+        spent_s: float,
+    ) -> None:
+        """Replace the time of a response that was counted as it went on."""
+        record = self._record(replica)
+        if record is not None and stratum in record.strata:
+            self._observations[replica.service].mark(replica.software, stratum)
+            record.replace_time(stratum, before_s, spent_s)
+
+    def pop_outcomes(self) -> list[SoftwareOutcome]:
+        """Return what to report of each active roll-out since its order."""
         return [
-            SoftwareOutcome(
-                service=service,
-                software=software,
-                rollout=observation.number,
-                answered=record.answered,
-                failed=record.failed,
-                slow=record.slow,
-                sent=record.sent,
-                untimed=record.untimed,
-            )
+            outcome
             for service, observation in self._observations.items()
             if self._rollouts[service].state == ACTIVE
-            for software, record in observation.records.items()
+            for outcome in observation.pop_outcomes(service)
         ]
 
     def _record(self, replica: Replica) -> VersionRecord | None:
@@ -403,6 +452,27 @@
         return self._stable_replicas(replicas, service)
 
 
+def _outcome(
+    service: str,
+    software: str,
+    number: int,
+    record: VersionRecord,
+    strata: Iterable[Stratum],
+) -> SoftwareOutcome:
+    return SoftwareOutcome(
+        service=service,
+        software=software,
+        rollout=number,
+        answered=record.answered,
+        failed=record.failed,
+        slow=record.slow,
+        sent=record.sent,
+        untimed=record.untimed,
+        has_strata=True,
+        strata=[write_stratum(one, record.strata[one]) for one in strata],
+    )
+
+
 def _canary_replicas(
     rollout: SoftwareRollout,
     target: list[Replica],
--- a/tests/policy/test_binomial.py
+++ b/tests/policy/test_binomial.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from snipebridge.policy.binomial import binomial_tail
-from snipebridge.policy.software_rollouts import VersionRecord, find_fault
+from snipebridge.policy.software_rollouts import find_fault
+from snipebridge.policy.version_records import VersionRecord
 
 
 def exact_tail(count, tries, share):
--- a/tests/policy/test_software_rollouts.py
+++ b/tests/policy/test_software_rollouts.py
@@ -9,13 +9,12 @@
     COMPLETED,
     REVERTED,
     WHOLE_PERMILLE,
-    RecordWindow,
     RolloutBounds,
     RolloutView,
-    VersionRecord,
     decide,
     is_doubtful,
 )
+from snipebridge.policy.version_records import RecordWindow, VersionRecord
 
 DURATION_S = 24.0
 REQUESTS_A_SECOND = 20
--- a/tests/relay/test_outcomes.py
+++ b/tests/relay/test_outcomes.py
@@ -15,15 +15,16 @@
     WHOLE_PERMILLE,
     RolloutBounds,
     RolloutView,
-    VersionRecord,
     decide,
 )
+from snipebridge.policy.version_records import VersionRecord
 from snipebridge.relay.attempts import Attempt
 from snipebridge.relay.messages import RelayRequest, ResponseHead
 from snipebridge.relay.outcomes import OutcomeRecorder
 from snipebridge.relay.replica_placement import Choice
 from snipebridge.relay.replicas import Replica
 from snipebridge.relay.software_selection import SoftwareSelector
+from snipebridge.routing.tables import RouteKind
 from snipebridge.rpc.control_pb2 import SoftwareRollout
 
 STEP_S = 0.015
@@ -66,7 +67,7 @@
         exchange = SimpleNamespace(
             digest='d1',
             request=RelayRequest('POST', '/', '/', 'h', [], b'', 0.0),
-            route=SimpleNamespace(name='r'),
+            route=SimpleNamespace(name='r', kind=RouteKind.STREAMING),
             progress=SimpleNamespace(last_event_id='', service='s'),
         )
         recorder = OutcomeRecorder(
@@ -95,7 +96,7 @@
                 one.sent,
                 one.untimed,
             )
-            for one in self.software.outcomes()
+            for one in self.software.pop_outcomes()
         }
 
 
