--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -63,6 +63,11 @@
     restart_s: float = 1.5
     # Requests a second that it says it takes; nothing is said if empty.
     rate_limit: str = ''
+    # Seconds for which it asks for no more requests, with each that it turns
+    # away, and the share of these; nothing is said if empty.
+    back_off_s: str = ''
+    back_off_share: float = 1.0
+    is_leaving: bool = False
     # Requests that it may turn away in a second; nothing is said if empty.
     rejection_limit: str = ''
     confidence: dict[str, int] = field(default_factory=dict)
@@ -199,8 +204,16 @@
         if wanted != self.name:
             writer.write(_head(421, [('X-Instance-Id', self.name)], 0))
             return True
+        asks = self.faults.back_off_s and (
+            self._rng.random() < self.faults.back_off_share
+        )
+        if asks:
+            headers = [('X-Not-Executed', '1'), *self._signs()]
+            headers.append(('Retry-After', self.faults.back_off_s))
+            writer.write(_head(503, headers, 0))
+            return True
         if self.faults.is_full:
-            headers = [('X-Not-Executed', '1'), *self._limits()]
+            headers = [('X-Not-Executed', '1'), *self._signs()]
             writer.write(_head(503, headers, 0))
             return True
         return False
@@ -313,13 +326,14 @@
             ('X-Attempt-Id', named),
             ('X-Instance-Load', f'{self.running},0,{self.slots}'),
         ]
-        headers.extend(self._limits())
+        headers.extend(self._signs())
         if not self.faults.drops_signature:
             headers.append(('X-Response-Signature', f'{self.name}.sig'))
         return headers
 
-    def _limits(self) -> list[tuple[str, str]]:
+    def _signs(self) -> list[tuple[str, str]]:
         named = {
+            'Server-Leaving': '1' if self.faults.is_leaving else '',
             'Server-Limit': self.faults.rate_limit,
             'Server-Brittle': self.faults.rejection_limit,
         }
--- a/snipebridge/settings/models.py
+++ b/snipebridge/settings/models.py
@@ -77,6 +77,8 @@
     rate_limit: str = 'Snipebridge-Rate-Limit'
     # Rejections a second above which the replica falls over.
     rejection_limit: str = 'Snipebridge-Rejection-Limit'
+    # In all answers of a replica that is about to stop.
+    leaving: str = 'Snipebridge-Leaving'
     # Further headers that only the system may send to a replica.
     reserved: list[str] = field(default_factory=list)
 
--- a/tests/relay/running_entry.py
+++ b/tests/relay/running_entry.py
@@ -49,6 +49,7 @@
     confidence='X-Confidence',
     rate_limit='Server-Limit',
     rejection_limit='Server-Brittle',
+    leaving='Server-Leaving',
     reserved=['X-Pin-Ms', 'Kv-From'],
 )
 
