Send nothing to replicas that asked for a pause or are leaving

Cause: no code read Retry-After of a refusal nor the sign of a replica that leaves. Where all replicas pause, callers are refused at once with the earliest end. Where all replicas of a version on trial do, the others take what is not bound to it; the choice of versions comes before the pauses, so that a trial gets no more for them. Open: tunnels. A replica that is reached through another entry answers that entry's machine, which can't read it; the entry that sent the request keeps the pause.

--- a/snipebridge/relay/dependencies.py
+++ b/snipebridge/relay/dependencies.py
@@ -14,6 +14,7 @@
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
 from snipebridge.policy.retry_window import RetryWindow
 from snipebridge.policy.tiers import TierPolicy
+from snipebridge.relay.back_offs import BackOffs
 from snipebridge.relay.brittle_services import BrittleServices
 from snipebridge.relay.buffers import BufferBudget
 from snipebridge.relay.crash_watch import CrashWatch
@@ -40,6 +41,7 @@
     prompts: PromptGuard
     limits: ReplicaLimits
     brittle: BrittleServices
+    back_offs: BackOffs
     crashes: CrashWatch
     retries: RetryWindow
     metrics: RelayMetrics
--- a/snipebridge/relay/filter_chain.py
+++ b/snipebridge/relay/filter_chain.py
@@ -52,6 +52,7 @@
         prompts=state.prompts,
         limits=state.limits,
         brittle=state.brittle,
+        back_offs=state.back_offs,
         crashes=CrashWatch(state.prompts, paths, clock, link.send_now),
         retries=RetryWindow(
             promises.retry_ratio,
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -128,6 +128,9 @@
         """Send the request; tell whether the replica ran it and responded."""
         try:
             await attempt.connect(_max_idle_s(self._route))
+            if _is_paused(self._dependencies, attempt):
+                self._outcomes.record_paused(attempt)
+                return False
             await self._send(attempt)
         except UpstreamError as error:
             self._record_fault(attempt, error)
@@ -157,7 +160,7 @@
             attempt.choice.replica, self._request.session, now_s
         )
         head = await self._wait_head(attempt)
-        self._outcomes.record_rate_sign(attempt, head)
+        self._outcomes.record_signs(attempt, head)
         if head.did_not_run:
             progress.ran = previous_ran
             return
@@ -222,7 +225,10 @@
             self._outcomes.excluded,
         )
         if choice is None:
-            self._fail('no eligible replica remains')
+            self._fail(
+                'no eligible replica remains',
+                self._dependencies.placer.paused_s(self._progress.service),
+            )
         return choice
 
     async def _check_crashes(self) -> None:
@@ -383,6 +389,13 @@
         return min(_LOWEST_PRIORITY, max(0, self._exchange.priority))
 
 
+def _is_paused(dependencies: ForwardDependencies, attempt: Attempt) -> bool:
+    """Tell whether the replica asked for a pause during the connect."""
+    return dependencies.back_offs.is_paused(
+        attempt.choice.replica.id, dependencies.clock.monotonic_s()
+    )
+
+
 def _max_idle_s(route: Route) -> float:
     return IDLE_LIMIT_S if route.allows_retry else _NON_RETRYABLE_IDLE_S
 
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -137,6 +137,11 @@
     rate_sign: RateSign = RateSign()
     # The replica falls over if it has to reject too much.
     is_brittle: bool = False
+    # Whether it names a time without requests, and the seconds if readable.
+    has_back_off: bool = False
+    back_off_s: float | None = None
+    # The replica is about to stop.
+    is_leaving: bool = False
     is_stream: bool = False
     is_encoded: bool = False
 
@@ -244,6 +249,9 @@
             load=_read_load(fields.get(names.load.lower(), '')),
             rate_sign=_read_rate_sign(fields.get(names.rate_limit.lower())),
             is_brittle=names.rejection_limit.lower() in fields,
+            has_back_off='retry-after' in fields,
+            back_off_s=_read_seconds(fields.get('retry-after', '')),
+            is_leaving=fields.get(names.leaving.lower(), '').strip() == '1',
             is_stream=content_type.startswith('text/event-stream'),
             is_encoded='content-encoding' in fields,
         )
@@ -313,6 +321,15 @@
         return None
 
 
+def _read_seconds(text: str) -> float | None:
+    """Return a time in seconds, none for a date or anything else."""
+    seconds = _number_or_none(text)
+    # Comparisons with NaN are false.
+    if seconds is None or not seconds >= 0:
+        return None
+    return seconds
+
+
 def _read_rate_sign(text: str | None) -> RateSign:
     if text is None:
         return RateSign()
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -58,6 +58,14 @@
         replica.is_replaced = replica.is_replaced or attempt.head.is_misdirected
         self._log(attempt, 'refused')
 
+    def record_paused(self, attempt: Attempt) -> None:
+        """Count an attempt that a pause came before."""
+        replica = attempt.choice.replica
+        self._limits.record_failed_connection()
+        self.excluded.add(replica.id)
+        self.last_error = f'{replica.id} asked for a pause'
+        self._log(attempt, 'paused')
+
     def record_fault(self, attempt: Attempt, error: UpstreamError) -> None:
         """Count an attempt that ended without a valid response."""
         replica = attempt.choice.replica
@@ -108,10 +116,15 @@
         if spent_s and not failed:
             self._add_sample(attempt, spent_s)
 
-    def record_rate_sign(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Note which limits a replica names, also if it refused."""
+    def record_signs(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Note what a replica says of itself, also if it refused."""
         if head.is_misdirected:
             return
+        self._dependencies.back_offs.record_answer(
+            attempt.choice.replica.id,
+            head,
+            self._dependencies.clock.monotonic_s(),
+        )
         self._dependencies.brittle.record_answer(
             attempt.choice.replica.service,
             head,
@@ -289,16 +302,14 @@
             return attempt.choice.replica.service
         return self._exchange.route.name
 
-    def _typical_s(self, attempt: Attempt) -> float:
-        return self._baseline(attempt).typical_s(
-            self._kind(attempt), attempt.choice.model
-        )
-
     def _log(self, attempt: Attempt, outcome: str, reason: str = '') -> None:
         replica = attempt.choice.replica
         spent_s = 0.0
         if attempt.was_sent:
             spent_s = self._dependencies.clock.monotonic_s() - attempt.sent_s
+        typical_s = self._baseline(attempt).typical_s(
+            self._kind(attempt), attempt.choice.model
+        )
         self._dependencies.metrics.attempts.inc(
             {'service': replica.service, 'outcome': outcome}
         )
@@ -323,7 +334,7 @@
             late_after_ms=round(attempt.late_after_ms, 1),
             slow=attempt.was_late,
             event_interval_ms=round(self._intervals.typical_s() * _MS_PER_S, 2),
-            typical_ms=round(self._typical_s(attempt) * _MS_PER_S, 2),
+            typical_ms=round(typical_s * _MS_PER_S, 2),
             shared_parts=[
                 part.identity
                 for part in self._exchange.request.shared_parts[-_LOGGED_PARTS:]
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -195,6 +195,7 @@
 
     def _remove_replica(self, replica: str) -> None:
         self._paths.forget(replica)
+        self._state.back_offs.forget(replica)
         self._pool.drop(replica)
 
     def _apply_path(self, replica: str) -> None:
--- a/snipebridge/relay/replica_placement.py
+++ b/snipebridge/relay/replica_placement.py
@@ -51,6 +51,7 @@
         '_prefill_speeds',
         '_rng',
         '_software',
+        '_back_offs',
         '_brittle',
         '_limits',
         '_regions',
@@ -69,6 +70,7 @@
         self._software = state.software
         self._limits = state.limits
         self._brittle = state.brittle
+        self._back_offs = state.back_offs
         self._prefill_speeds = state.prefill_speeds
         self._clock = clock
         self._rng = rng
@@ -85,7 +87,7 @@
     ) -> Choice | None:
         """Return the cheapest eligible replica, or none if there is none."""
         now_s = self._clock.monotonic_s()
-        eligible = self._candidates(exchange, service, excluded, now_s)
+        eligible = self._unpaused(exchange, service, excluded, now_s)
         self._note_cold(exchange, service, eligible, now_s)
         candidates = self._limits.usable(eligible, now_s)
         candidates = self._brittle.usable(
@@ -146,6 +148,14 @@
         weights = self._weights(candidates)
         return choose(loads, shape, speed, self._rng, weights)
 
+    def paused_s(self, service: str) -> float:
+        """Return how long all replicas of a service want no requests."""
+        now_s = self._clock.monotonic_s()
+        replicas = self._replicas.available_for(service)
+        return self._back_offs.left_s(
+            self._back_offs.staying(replicas, now_s), now_s
+        )
+
     def pool(self, service: str) -> list[PoolMember]:
         """Return what is under way at each replica of a service."""
         now_s = self._clock.monotonic_s()
@@ -190,12 +200,35 @@
             if ends_s > now_s:
                 self._limits.note_cold(replica.id, per_s, ends_s)
 
+    def _unpaused(
+        self,
+        exchange: RelayExchange,
+        service: str,
+        excluded: Collection[str],
+        now_s: float,
+    ) -> list[Replica]:
+        """Return the candidates that did not ask for a pause.
+
+        Where all replicas of a version on trial did, the others take what is
+        not bound to it.
+        """
+        paused = self._candidates(exchange, service, excluded, now_s)
+        unpaused = self._back_offs.usable(paused, now_s)
+        session = exchange.request.session
+        if unpaused or self._software.is_on_target(service, session, now_s):
+            return unpaused
+        others = self._candidates(
+            exchange, service, excluded, now_s, {one.software for one in paused}
+        )
+        return self._back_offs.usable(others, now_s)
+
     def _candidates(
         self,
         exchange: RelayExchange,
         service: str,
         excluded: Collection[str],
         now_s: float,
+        avoided_software: Collection[str] = (),
     ) -> list[Replica]:
         request = exchange.request
         account = exchange.account
@@ -206,14 +239,16 @@
         eligible = self._software.eligible(
             [
                 replica
-                for replica in self._replicas.available_for(service)
+                for replica in self._back_offs.staying(
+                    self._replicas.available_for(service), now_s
+                )
                 if self._regions.allows(replica.data_centre, allowed)
             ],
             service,
             request.session,
             request.session or request.attempt_id,
             now_s,
-            exchange.progress.failed_software,
+            exchange.progress.failed_software.union(avoided_software),
             exchange.progress.erring_software,
         )
         remaining = [
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -272,6 +272,14 @@
             and rollout.target == replica.software
         )
 
+    def is_on_target(self, service: str, session: str, now_s: float) -> bool:
+        """Tell whether a session uses the target of a roll-out."""
+        rollout = self._rollouts.get(service)
+        return (
+            rollout is not None
+            and self._pinned(rollout, session, now_s) == rollout.target
+        )
+
     def record_sent(
         self, replica: Replica, session: str = '', now_s: float = 0.0
     ) -> None:
--- a/snipebridge/relay/state.py
+++ b/snipebridge/relay/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from snipebridge.policy.prefill_speed import PrefillSpeedEstimator
+from snipebridge.relay.back_offs import BackOffs
 from snipebridge.relay.brittle_services import BrittleServices
 from snipebridge.relay.prompt_guard import PromptGuard
 from snipebridge.relay.replica_limits import ReplicaLimits
@@ -22,3 +23,4 @@
     prompts: PromptGuard = field(default_factory=PromptGuard)
     limits: ReplicaLimits = field(default_factory=ReplicaLimits)
     brittle: BrittleServices = field(default_factory=BrittleServices)
+    back_offs: BackOffs = field(default_factory=BackOffs)
