Follow the list of replicas whatever one entry of it is

Cause: a page was parsed as a whole, and the second parser raised a RecursionError that nobody expects, or refused the page; ports out of range and digits of other scripts were taken. Change: a page that can't be parsed is split at its own commas, and each entry is read by itself; addresses need a port of 1 to 65535, texts must be printable (they become headers); an address that is none is a failed connection. Conclusion: the others on the page hold, whatever one entry is.

--- a/fakes/platform_list.py
+++ b/fakes/platform_list.py
@@ -26,6 +26,8 @@
         self.replicas = list(replicas)
         self.foreign: list[Any] = []
         self.is_down = False
+        # Answered in place of each page, also if it is no JSON.
+        self.raw_page: str | None = None
         self.calls = 0
         self.port = 0
         self._server: HTTPServer | None = None
@@ -64,6 +66,9 @@
             self.set_status(429)
             return
         start = int(self.get_query_argument('page_token', '0'))
+        if platform.raw_page is not None:
+            self.finish(platform.raw_page)
+            return
         self.finish(json.dumps(platform.page(start)))
 
 
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -373,7 +373,8 @@
                 )
         except ConnectionRefusedError as error:
             raise RefusedError(f'{address}: {error}') from error
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # No address, such as a port out of range, is a way to nothing.
             raise ConnectError(f'{address}: {error}') from error
         return connection
 
--- a/snipebridge/upstreams/replica_list.py
+++ b/snipebridge/upstreams/replica_list.py
@@ -5,7 +5,7 @@
 a wrong type or an unknown state, is skipped and reported.
 """
 
-import json
+import reprlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -17,6 +17,7 @@
 from snipebridge.rpc.control_pb2 import ListedReplica
 from snipebridge.upstreams.client import UpstreamCall, UpstreamClient
 from snipebridge.upstreams.errors import InvalidResponseError, StatusError
+from snipebridge.upstreams.lenient_json import read_members
 
 # A page takes a few milliseconds; a failed read is repeated at the next poll.
 _PAGE_TIMEOUT_S = 1.0
@@ -26,6 +27,8 @@
 _STATES = frozenset(('ready', 'draining'))
 # Width of the protobuf fields that carry the numbers to entry processes.
 _NUMBER_BITS = 32
+_LAST_PORT = 65_535
+_PORT_DIGITS = 5
 
 
 @dataclass(slots=True)
@@ -62,7 +65,10 @@
         token = ''
         for _ in range(_PAGE_LIMIT):
             page = await self._read_page(token)
-            for entry in page.get('replicas') or ():
+            entries = page.get('replicas') or ()
+            if not isinstance(entries, list | tuple):
+                raise InvalidResponseError('the replica list has no entries')
+            for entry in entries:
                 _append_replica(snapshot, entry)
             token = page.get('next') or ''
             if not token:
@@ -89,7 +95,7 @@
 
 
 def parse_json_leniently(body: bytes) -> Any:
-    """Parse JSON, tolerating invalid UTF-8 and control characters in strings.
+    """Parse JSON, tolerating invalid UTF-8 and values that can't be parsed.
 
     >>> parse_json_leniently(b'{"id": "a' + bytes([255]) + b'"}')['id'][0]
     'a'
@@ -99,7 +105,7 @@
     except orjson.JSONDecodeError:
         text = body.decode('utf-8', errors='replace')
     try:
-        return json.loads(text, strict=False)
+        return read_members(text)
     except ValueError as error:
         raise InvalidResponseError(
             f'the replica list is not JSON: {error}'
@@ -118,13 +124,14 @@
 
     Raises `KeyError`, `TypeError` or `ValueError` for an invalid entry.
     """
-    state = entry['state']
+    if not isinstance(entry, Mapping):
+        raise TypeError(f'found {_show(entry)}, allowed is an object')
+    state = _read_text(entry, 'state')
     if state not in _STATES:
-        raise ValueError(f'state: found {state!r}')
+        raise ValueError(f'state: found {_show(state)}')
     address = _read_text(entry, 'address')
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise ValueError(f'address: found {address!r}')
+    if not _is_address(address):
+        raise ValueError(f'address: found {_show(address)}')
     return ListedReplica(
         id=_read_text(entry, 'id'),
         service=_read_text(entry, 'service'),
@@ -137,22 +144,43 @@
     )
 
 
+def _is_address(address: str) -> bool:
+    """Tell whether a text is a host and the number of a port.
+
+    >>> [_is_address(one) for one in ('a:80', 'a:0', 'a:99999', ':80', 'a:٨')]
+    [True, False, False, False, False]
+    """
+    host, _, port = address.rpartition(':')
+    is_number = port.isascii() and port.isdecimal()
+    if not host or not is_number or len(port) > _PORT_DIGITS:
+        return False
+    return host.isascii() and 0 < int(port) <= _LAST_PORT
+
+
 def _read_text(entry: Mapping[str, Any], name: str) -> str:
+    """Return a text; in headers and addresses it must be one line."""
     value = entry[name]
     if not isinstance(value, str) or not value:
-        raise TypeError(f'{name}: found {value!r}, allowed is a text')
+        raise TypeError(f'{name}: found {_show(value)}, allowed is a text')
+    if not value.isprintable():
+        raise ValueError(f'{name}: found {_show(value)}')
     return value
 
 
 def _read_number(entry: Mapping[str, Any], name: str) -> int:
     value = entry[name]
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f'{name}: found {value!r}, allowed is a number')
+        raise TypeError(f'{name}: found {_show(value)}, allowed is a number')
     if not 0 <= value < (1 << _NUMBER_BITS):
-        raise ValueError(f'{name}: found {value!r}, allowed is 0 or more')
+        raise ValueError(f'{name}: found {_show(value)}, allowed is 0 or more')
     return int(value)
 
 
+def _show(value: Any) -> str:
+    """Return a value for a message, shortened: it may be nested deeply."""
+    return reprlib.repr(value)
+
+
 def make_replica_list(
     client: UpstreamClient, url: str, clock: Clock
 ) -> ReplicaListReader:
--- a/tests/upstreams/test_replica_list.py
+++ b/tests/upstreams/test_replica_list.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import orjson
 import pytest
 
 from fakes.platform_list import PlatformList
@@ -85,6 +86,12 @@
         {'id': 5},
         {'address': 'nowhere'},
         {'address': '10.0.0.1:http'},
+        {'address': '10.0.0.1:99999'},
+        {'address': '10.0.0.1:٨٠'},
+        {'address': 'h\u00f6st:80'},
+        {'id': 'r1\r\nX-Tenant: other'},
+        {'state': ['ready']},
+        {'slots': float('nan')},
         {'state': 'resting'},
         {'slots': -1},
         {'slots': True},
@@ -112,3 +119,40 @@
         b'{"replicas": [{"id": "a\xff\xfe"}, {"id": "b"}]}'
     )
     assert page['replicas'][1]['id'] == 'b'
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        '[' * 1_100 + ']' * 1_100,
+        '{"a":' * 100_000 + '1' + '}' * 100_000,
+        '{"slots": ' + '9' * 5_001 + '}',
+        '{"slots": 1e999}',
+        '{"id": "}],[{\\" "}',
+        'NaN',
+        '"\\ud800"',
+    ],
+)
+def test_entry_that_no_parser_takes_does_not_hide_the_others(odd):
+    """The list was not followed any more."""
+    first = orjson.dumps({**VALID_ENTRY, 'id': 'a, "]'}).decode()
+    last = orjson.dumps(VALID_ENTRY).decode()
+    platform = make_platform(1)
+    platform.raw_page = (
+        f'{{"replicas": [{first}, {odd} , {last}], "next": null}}'
+    )
+    snapshot = read(platform)
+    assert [one.id for one in snapshot.replicas] == ['a, "]', 'r1']
+    assert len(snapshot.invalid_entries) == 1
+    assert len(snapshot.invalid_entries[0]) < 200
+
+
+@pytest.mark.parametrize(
+    'page', ['', '[]', '7', '{"replicas": 7}', '{"replicas": [', '{,}', '{"a"']
+)
+def test_page_that_is_no_list_is_an_error(page):
+    """The list that was read before stays in force."""
+    platform = make_platform(1)
+    platform.raw_page = page
+    with pytest.raises(UpstreamError):
+        read(platform)
