Take no refusal for one of another request

Cause: a refusal was believed before its attempt id was compared, so an earlier one that a replica writes once more stood for the request that it was running. Change: the id is compared first, and the connection is closed where it differs, as what belongs to the request may still come. A refusal without an id is believed, and its connection serves no later request: written again there, it could not be told from a new one. The stand-in names the request that it refuses now, as the platform's replicas do. Conclusion: a refusal stands for one request only.

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 from dataclasses import dataclass, field
+from weakref import WeakKeyDictionary
 
 import httptools
 
@@ -68,6 +69,11 @@
     back_off_s: str = ''
     back_off_share: float = 1.0
     is_leaving: bool = False
+    # Writes its last refusal on a connection again before the next answer.
+    repeats_refusals: bool = False
+    # Refuses the next so many requests, without their ids where asked for.
+    refuses_next: int = 0
+    refuses_without_id: bool = False
     # Requests that it may turn away in a second; nothing is said if empty.
     rejection_limit: str = ''
     confidence: dict[str, int] = field(default_factory=dict)
@@ -128,6 +134,10 @@
         self.crashes: list[float] = []
         self._crash: asyncio.Task | None = None
         self._rng = random.Random(name)
+        # The last refusal on each connection.
+        self._refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            WeakKeyDictionary()
+        )
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -204,23 +214,29 @@
         if wanted != self.name:
             writer.write(_head(421, [('X-Instance-Id', self.name)], 0))
             return True
-        asks = self.faults.back_off_s and (
-            self._rng.random() < self.faults.back_off_share
-        )
+        faults = self.faults
+        asks = faults.back_off_s and self._rng.random() < faults.back_off_share
+        if not (asks or faults.is_full or faults.refuses_next):
+            return False
+        faults.refuses_next = max(0, faults.refuses_next - 1)
+        refusal = _head(503, self._refusal_headers(run, asks=asks), 0)
+        self._refusals[writer] = refusal
+        writer.write(refusal)
+        return True
+
+    def _refusal_headers(self, run, *, asks) -> list[tuple[str, str]]:
+        headers = [('X-Not-Executed', '1'), *self._signs()]
+        if not self.faults.refuses_without_id:
+            headers.append(('X-Attempt-Id', run.attempt_id))
         if asks:
-            headers = [('X-Not-Executed', '1'), *self._signs()]
             headers.append(('Retry-After', self.faults.back_off_s))
-            writer.write(_head(503, headers, 0))
-            return True
-        if self.faults.is_full:
-            headers = [('X-Not-Executed', '1'), *self._signs()]
-            writer.write(_head(503, headers, 0))
-            return True
-        return False
+        return headers
 
     async def _run(self, run: ReplicaRun, writer) -> bool:
         run.outcome = 'running'
         faults = self.faults
+        if faults.repeats_refusals and writer in self._refusals:
+            writer.write(self._refusals.pop(writer))
         if run.target == faults.crashes_on_target:
             await self._run_deadly(run)
         await asyncio.sleep(_NEVER_S if faults.is_silent else faults.delay_s)
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -119,7 +119,15 @@
         status = await self._connection.wait_head(timeout_s)
         head = self._codec.read_head(status, self._connection.headers)
         self._record_load(head)
-        check_head(head, attempt_id)
+        try:
+            check_head(head, attempt_id)
+        except InvalidResponseError:
+            # What belongs to this request may still come.
+            self._connection.abort()
+            raise
+        if head.did_not_run and not head.attempt_id:
+            # Written once more here, it would seem to be of a later request.
+            self._connection.max_idle_s = 0.0
         self.head = head
         self.head_s = self._clock.monotonic_s()
         return head
@@ -180,10 +188,10 @@
 
 def check_head(head: ResponseHead, attempt_id: str) -> None:
     """Raise `InvalidResponseError` if a response must not be passed on."""
-    if head.did_not_run:
-        return
     if head.attempt_id and head.attempt_id != attempt_id:
         raise InvalidResponseError('the response belongs to another request')
+    if head.did_not_run:
+        return
     if is_success(head.status):
         fault = _success_fault(head, attempt_id)
         if fault:
