Show that an error after a broken stream stays out of it

Ruled out here: twelve forms of answers to the resumed request, with a length, in chunks, unframed, as events, not run, no HTTP at all; each stream ends visibly cut, with the two events that came (no fault found, no product code changed). Conclusion: nothing to fix; the test stays.

--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -47,6 +47,9 @@
     breaks_after_events: int = 0
     break_form: str = BREAK_CLOSE
     after_last_event: bytes = b''
+    # Answers a stream that is to go on with these bytes and closes; ID stands
+    # for the id of the attempt.
+    answers_resumed: bytes = b''
     stalls_after_events: int = 0
     stall_s: float = _NEVER_S
     # Neither a length nor chunks: answers end with their connection.
@@ -267,6 +270,11 @@
         await writer.drain()
 
     async def _stream(self, run: ReplicaRun, writer) -> bool:
+        if self.faults.answers_resumed and 'last-event-id' in run.headers:
+            answer = self.faults.answers_resumed
+            writer.write(answer.replace(b'ID', run.attempt_id.encode()))
+            await writer.drain()
+            return False
         headers = self._headers(run)
         headers.append(('Content-Type', 'text/event-stream'))
         model = run.headers.get('x-model-id', '')
