Let the whole answer of a plain request speak for it

Cause: a plain run stayed a suspect for a second after its answer was whole, so what runs often was beside each crash; and it was not counted as sound where its replica was lost under another request soon after. Change: a plain request that was answered as a whole is no suspect and counts as sound. A replica that crashes under a plain request does not answer it; streams are judged as before, since a crash may follow their first token.

--- a/snipebridge/policy/prompt_runs.py
+++ b/snipebridge/policy/prompt_runs.py
@@ -110,6 +110,7 @@
     replica: str
     began_s: float
     was_cut: bool = False
+    is_whole: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -143,10 +144,18 @@
 
     def record_cut(self, replica: str, request: str) -> None:
         """Note that a run ended before its answer was complete."""
-        for recent in reversed(self._runs):
-            if (recent.replica, recent.run.request) == (replica, request):
-                recent.was_cut = True
-                return
+        recent = self._find(replica, request)
+        if recent is not None:
+            recent.was_cut = True
+
+    def record_whole(self, replica: str, request: str) -> None:
+        """Note that a plain request was answered as a whole.
+
+        A replica that crashes under a plain request does not answer it.
+        """
+        recent = self._find(replica, request)
+        if recent is not None:
+            recent.is_whole = True
 
     def record_unanswered(
         self, replica: str, run: PromptRun, now_s: float
@@ -196,11 +205,19 @@
             before=first_after - first_before,
         )
 
+    def _find(self, replica: str, request: str) -> _RecentRun | None:
+        for recent in reversed(self._runs):
+            if (recent.replica, recent.run.request) == (replica, request):
+                return recent
+        return None
+
     def _suspects_of(self, replica: str, lost_s: float) -> list[CrashSuspect]:
         begun = [
             CrashSuspect(one.run, replica, lost_s, has_begun=True)
             for one in self._runs
-            if one.replica == replica and abs(lost_s - one.began_s) <= SUSPECT_S
+            if one.replica == replica
+            and not one.is_whole
+            and abs(lost_s - one.began_s) <= SUSPECT_S
         ]
         waiting = [
             CrashSuspect(
@@ -215,7 +232,9 @@
         """Count the runs that have outlived the danger as sound."""
         while self._runs and now_s - self._runs[0].began_s >= SURVIVAL_S:
             recent = self._runs.popleft()
-            if not (recent.was_cut or self._was_lost_after(recent)):
+            if recent.is_whole or not (
+                recent.was_cut or self._was_lost_after(recent)
+            ):
                 for part in recent.run.parts:
                     times_s = self._sound_s.pop(part, [])
                     times_s.append(recent.began_s)
--- a/snipebridge/relay/crash_watch.py
+++ b/snipebridge/relay/crash_watch.py
@@ -10,6 +10,7 @@
 from snipebridge.relay.paths import PathFinder
 from snipebridge.relay.prompt_guard import PromptGuard, prompt_run
 from snipebridge.relay.replicas import Replica
+from snipebridge.routing.tables import RouteKind
 from snipebridge.upstreams.errors import (
     InvalidResponseError,
     RefusedError,
@@ -52,10 +53,13 @@
 
     def record_closed(self, attempt: Attempt, exchange: RelayExchange) -> None:
         """Note that an attempt is over, its answer complete or not."""
-        if attempt.head is not None and not attempt.is_complete:
-            self._guard.runs.record_cut(
-                attempt.choice.replica.id, exchange.request.attempt_id
-            )
+        if attempt.head is None:
+            return
+        run = (attempt.choice.replica.id, exchange.request.attempt_id)
+        if not attempt.is_complete:
+            self._guard.runs.record_cut(*run)
+        elif exchange.route.kind is not RouteKind.STREAMING:
+            self._guard.runs.record_whole(*run)
 
     def record_fault(
         self, attempt: Attempt, exchange: RelayExchange, error: UpstreamError
