Look for a fault of the target only at its own answers

Cause: an entry compared versions at each answer of either, which now adds up routes. Conclusion: no decision changes but by the moment of the next answer of the target; the leader looks at all of them five times a second.

--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -320,7 +320,10 @@
             is_timed=is_timed,
             spent_s=spent_s,
         )
-        return self._stop_if_bad(self._rollouts[service], observation)
+        rollout = self._rollouts[service]
+        if replica.software != rollout.target:
+            return False
+        return self._stop_if_bad(rollout, observation)
 
     def record_slow_body(self, replica: Replica) -> None:
         """Count a response that started in time but continued slowly."""
