--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -1,10 +1,10 @@
 """Decides on the traffic share and the end of roll-outs of service software.
 
-In the first half of the duration the new version gets a small share of the
-traffic. Its failures are compared with those of the old version in the same
-period, so that a problem that affects both does not count against the new
-one. A version without a fault then takes all traffic, and the old replicas
-have the rest of the duration to finish their running requests.
+For most of the duration the new version gets a small share of the traffic. Its
+answers are compared with those of the old version on the same routes, so that a
+problem that affects both does not count against the new one. A version that has
+shown to be healthy then takes all traffic, at a moment from which on it stays
+within the bound on a bad version's requests even if it is reverted in the end.
 
 >>> view = RolloutView(elapsed_s=3.0, duration_s=20.0, share_permille=100)
 >>> view.target.answered, view.target.failed = 20, 9
@@ -36,7 +36,8 @@
 _MIN_RAISE_INTERVAL_S = 2.5
 _MAX_SHARE_MULTIPLE = 4
 _MIN_SENT_REQUESTS = 40
-# Part of the duration after which a version without a fault takes all traffic.
+# Part of the duration before which no version takes all traffic: sessions keep
+# their version.
 _RAMP_START = 0.52
 # Time before the deadline at which the roll-out is ended, enough for an entry
 # of the replicated log and a change of leader.
