Keep counts of versions above zero, so that entries keep their lease

A stream that was counted before the order of a roll-out took its earlier time from counts that it was not in; a count of -1 can't be reported, and each heartbeat failed on it. Found by the same reading: a window kept by a process that leads for the second time met strata that it had not heard of. Change: a time is replaced only in the roll-out that it was counted in, and no count falls below zero.

--- a/snipebridge/policy/version_records.py
+++ b/snipebridge/policy/version_records.py
@@ -61,6 +61,15 @@
             if bucket_s(bucket) > limit_s
         )
 
+    def take_away(self, other: 'StratumCounts') -> None:
+        """Take counts away, none below zero."""
+        self.add(other, -1)
+        self.answered = max(0, self.answered)
+        self.failed = max(0, self.failed)
+        self.late = max(0, self.late)
+        self.in_time = max(0, self.in_time)
+        self.times = +self.times
+
     def add(self, other: 'StratumCounts', sign: int = 1) -> None:
         """Add counts, or take them away with a sign of -1."""
         self.answered += sign * other.answered
@@ -125,8 +134,9 @@
     ) -> None:
         """Replace the time of an answer that was counted as it went on."""
         times = self.strata[stratum].times
-        times[bucket_of(before_s)] -= 1
-        times[bucket_of(spent_s)] += 1
+        if times[bucket_of(before_s)] > 0:
+            times[bucket_of(before_s)] -= 1
+            times[bucket_of(spent_s)] += 1
 
     def add(self, other: 'VersionRecord') -> None:
         """Add the counts of another version or entry."""
@@ -135,11 +145,16 @@
             self.strata.setdefault(stratum, StratumCounts()).add(counts)
 
     def since(self, first: 'VersionRecord') -> 'VersionRecord':
-        """Return the counts that came after those of an earlier moment."""
+        """Return the counts that came after those of an earlier moment.
+
+        They may be lower than they were: the time of a running stream changes,
+        and a new leader starts from what is reported to it.
+        """
         recent = self.copy()
         recent._add_sums(first, -1)
         for stratum, counts in first.strata.items():
-            recent.strata[stratum].add(counts, -1)
+            if stratum in recent.strata:
+                recent.strata[stratum].take_away(counts)
         # An answer counted before may have turned slow since.
         recent.slow = min(recent.timed, recent.slow)
         return recent
--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -35,6 +35,7 @@
         '_prefill_speeds',
         '_pool',
         'choice',
+        'counted_rollout',
         'counted_s',
         'head',
         'head_s',
@@ -74,8 +75,10 @@
         )
         # Whether the outcome is already counted for the software version.
         self.is_counted = False
-        # The time that it was counted with, 0 without one.
+        # The time that it was counted with, 0 without one, and in which
+        # roll-out.
         self.counted_s = 0.0
+        self.counted_rollout = 0
         self.was_late = False
         choice.replica.running += 1
         choice.replica.backlog_ms += self._backlog_ms
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -208,6 +208,9 @@
             return
         attempt.is_counted = True
         attempt.counted_s = spent_s
+        attempt.counted_rollout = self._dependencies.software.active_number(
+            attempt.choice.replica.service
+        )
         attempt.was_late = attempt.was_late or slow
         if self._dependencies.software.record_outcome(
             attempt.choice.replica,
@@ -225,6 +228,7 @@
             self._dependencies.software.record_new_time(
                 attempt.choice.replica,
                 _stratum(self._exchange.route, attempt),
+                attempt.counted_rollout,
                 attempt.counted_s,
                 spent_s,
             )
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -272,6 +272,12 @@
             and rollout.target == replica.software
         )
 
+    def active_number(self, service: str) -> int:
+        """Return the number of the roll-out under way, 0 without one."""
+        rollout = self._rollouts.get(service)
+        is_active = rollout is not None and rollout.state == ACTIVE
+        return rollout.number if is_active else 0
+
     def is_on_target(self, service: str, session: str, now_s: float) -> bool:
         """Tell whether a session uses the target of a roll-out."""
         rollout = self._rollouts.get(service)
@@ -335,10 +341,17 @@
         self,
         replica: Replica,
         stratum: Stratum,
+        number: int,
         before_s: float,
         spent_s: float,
     ) -> None:
-        """Replace the time of a response that was counted as it went on."""
+        """Replace the time of a response that was counted as it went on.
+
+        It changes nothing if that was not in the roll-out under way, by its
+        number.
+        """
+        if number != self.active_number(replica.service):
+            return
         record = self._record(replica)
         if record is not None and stratum in record.strata:
             self._observations[replica.service].mark(replica.software, stratum)
--- a/tests/fleet/test_evidence.py
+++ b/tests/fleet/test_evidence.py
@@ -61,6 +61,6 @@
     """It was counted when its pace was first known."""
     selector = entry()
     answer(selector, 'book', 0.01)
-    selector.record_new_time(NEW, BOOK, 0.01, 0.08)
+    selector.record_new_time(NEW, BOOK, 1, 0.01, 0.08)
     counts = selector.pop_outcomes()[0].strata[0]
     assert list(counts.time_counts) == [1]
--- a/tests/policy/test_software_rollouts.py
+++ b/tests/policy/test_software_rollouts.py
@@ -14,7 +14,11 @@
     decide,
     is_doubtful,
 )
-from snipebridge.policy.version_records import RecordWindow, VersionRecord
+from snipebridge.policy.version_records import (
+    RecordWindow,
+    Stratum,
+    VersionRecord,
+)
 
 DURATION_S = 24.0
 REQUESTS_A_SECOND = 20
@@ -171,6 +175,19 @@
     assert (record.answered, record.slow) == (2, 2)
 
 
+def test_window_goes_on_where_a_new_leader_knows_less():
+    """It led before, and the entries report to it again one by one."""
+    recent = RecordWindow()
+    before, after = VersionRecord(), VersionRecord()
+    for route, spent_s in (('book', 0.02), ('look', 0.08)):
+        before.count(Stratum(route), spent_s=spent_s)
+    after.count(Stratum('look'), failed=True, spent_s=0.02)
+    recent.add(before, 0.0)
+    counts = recent.add(after, 3.0).strata
+    assert counts[Stratum('look')].failed == 1
+    assert all(one.timed >= 0 for one in counts.values())
+
+
 def test_cold_caches_of_a_takeover_do_not_revert_a_good_version():
     """A third of the first tokens is late for two seconds; most is not."""
     view = RolloutView(12.8, 18.0, WHOLE_PERMILLE)
--- a/tests/relay/test_outcomes.py
+++ b/tests/relay/test_outcomes.py
@@ -192,6 +192,25 @@
     assert decide(view, BOUNDS).state == REVERTED
 
 
+def test_stream_counted_before_an_order_is_not_taken_from_its_counts():
+    """Below zero, counts can't be reported, and the entry lost its lease."""
+    entry = Entry()
+    order = entry.software._rollouts.pop('s')
+    entry.software._observations.clear()
+    recorder, attempt = entry.attempt('v1')
+    for number in range(EVENTS // 2):
+        entry.clock.now_s += STEP_S
+        recorder.record_events(attempt, b'id: 1\n\n', str(number))
+    entry.software.apply_rollouts([order])
+    entry.stream('v1', [4 * STEP_S for _ in range(EVENTS)])
+    for number in range(EVENTS):
+        entry.clock.now_s += 4 * STEP_S
+        recorder.record_events(attempt, b'id: 1\n\n', str(number))
+    recorder.record_response(attempt)
+    outcome = entry.software.pop_outcomes()[0]
+    assert list(outcome.strata[0].time_counts) == [1]
+
+
 def test_failure_of_a_repeated_request_does_not_count_against_its_version():
     """A request that fails wherever it runs would count at each replica."""
     entry = Entry()
