--- a/tests/relay/test_back_offs.py
+++ b/tests/relay/test_back_offs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fakes.platform_caller import CHAT_HEADERS
 from fakes.platform_replica import PlatformReplica
 from tests.relay.running_entry import RunningEntry
 
@@ -19,10 +20,10 @@
     asyncio.run(asyncio.wait_for(scenario, 20))
 
 
-def desks(count=3, **options):
-    """Return replicas of the desk."""
+def desks(count=3, service='desk'):
+    """Return replicas of a service, the desk unless named."""
     return [
-        PlatformReplica(f'd{number}', 'desk', '127.0.0.1', **options)
+        PlatformReplica(f'd{number}', service, '127.0.0.1')
         for number in range(count)
     ]
 
@@ -31,9 +32,10 @@
     """Send requests one after the other, each without waiting."""
     tasks = []
     for number in range(count):
-        request = entry.request(
-            path, method, headers={'X-Attempt-Id': f'a{number}'}
-        )
+        headers = {'X-Attempt-Id': f'a{number}'}
+        if path.startswith('/chat/'):
+            headers |= CHAT_HEADERS
+        request = entry.request(path, method, headers=headers)
         tasks.append(asyncio.create_task(request))
         await asyncio.sleep(INTERVAL_S)
     return await asyncio.gather(*tasks)
@@ -57,14 +59,21 @@
 
 
 @pytest.mark.parametrize(
-    ('path', 'method'), [('/look/x', 'GET'), ('/book/x', 'POST')]
+    ('path', 'method', 'service'),
+    [
+        ('/look/x', 'GET', 'desk'),
+        ('/book/x', 'POST', 'desk'),
+        ('/chat/x', 'POST', 'models'),
+    ],
 )
 @pytest.mark.parametrize('asking', [1, 3])
-def test_replica_that_asks_for_a_pause_is_not_pressed(path, method, asking):
+def test_replica_that_asks_for_a_pause_is_not_pressed(
+    path, method, service, asking
+):
     """Repeats would pile up at a replica that wants none."""
 
     async def scenario():
-        replicas = desks()
+        replicas = desks(service=service)
         for one in replicas[:asking]:
             one.faults.back_off_s = '1.5'
             one.faults.back_off_share = 0.3
