--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,58 +1,46 @@
-"""A route is added whose streams use model tiers and may not be resumed."""
+"""The last client account of a configuration is taken away."""
 
 import asyncio
 
 from deployment import CONTROLS, Deployment, main
 
-REQUESTS = 30
-# Limits of the pages.
-CONVERGENCE_S = 2.0
-CONNECTIVITY_S = 3.0
-# The rule speaks of a quarter.
-LEAST_SHARE = 0.25
+# The limit of the pages, and a second more.
+REVOCATION_S = 5.0
+AFTER_S = REVOCATION_S + 1.0
+REQUESTS = 20
 # How long the first start may take.
 START_S = 30.0
-CHAT = {
-    'X-Model-Id': '*',
-    'X-Token-Usage': '900,30',
-    'X-Prefix-Hash': '5c:800,91:100',
-}
 
 
 async def play(system: Deployment, trouble: bool) -> bool:
-    """Tell whether the added route is served like the first ones."""
-    for replica in system.replicas:
-        # Each model's own opinion of its answers.
-        replica.faults.confidence = {'small': 10, 'large': 90}
+    """Tell whether no request with a key that was taken away runs."""
     await system.begin()
-    document = system.document
-    first = await system.operate('PUT', 'routing', document, CONTROLS, START_S)
+    first = await system.operate(
+        'PUT', 'routing', system.document, CONTROLS, START_S
+    )
     if first is None:
         raise TimeoutError('the first configuration was not acknowledged')
     for host in system.entries:
         await system.until_ready(host)
-    served = await _streams(system, '/chat/x')
-    if served < REQUESTS:
-        raise TimeoutError('the first routes were not served')
+    before = await system.served('/look/before', REQUESTS)
+    unknown = await system.served('/look/x', 4, headers={'X-Key': 'unknown'})
+    if before < REQUESTS or unknown:
+        raise TimeoutError('keys did not work before the change')
+    change = {**system.document, 'version': 2}
     if trouble:
-        chat = next(one for one in document['routes'] if one['name'] == 'chat')
-        added = {**chat, 'name': 'draft', 'path_prefix': '/draft/'}
-        added['resumable'] = False
-        change = {**document, 'routes': [*document['routes'], added]}
-        change['version'] = 2
-        second = await system.operate('PUT', 'routing', change, CONTROLS, 10)
-        if second is None:
-            raise TimeoutError('the change was not acknowledged')
-        await asyncio.sleep(CONVERGENCE_S + CONNECTIVITY_S)
-    added_served = await _streams(system, '/draft/x' if trouble else '/chat/x')
+        change['accounts'] = []
+    if await system.operate('PUT', 'routing', change, CONTROLS, 10) is None:
+        raise TimeoutError('the second configuration was not acknowledged')
+    await asyncio.sleep(AFTER_S)
+    await system.served('/look/after', REQUESTS)
     system.require((*CONTROLS, *system.entries))
-    return added_served >= LEAST_SHARE * served
-
-
-async def _streams(system: Deployment, path: str) -> int:
-    return await system.served(
-        path, REQUESTS, method='POST', body=b'prompt', headers=CHAT
-    )
+    runs = [
+        run
+        for replica in system.replicas
+        for run in replica.runs
+        if run.target == '/look/after'
+    ]
+    return not trouble or not runs
 
 
 if __name__ == '__main__':
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -165,6 +166,8 @@
 
 def main(scenario: Scenario, replicas=()) -> None:
     """Play a scenario that tells whether the rule held, and exit."""
+    # The programs are ended also where the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Path(sys.argv[0]).resolve().parent / 'record.txt'
     sys.exit(asyncio.run(_play(scenario, record, replicas)))
 
