Let a control process that hears no leader ask whether it still votes

Cause: a process asked to join only while its own log did not name it as a voter. The leader sends its log to members, so one that lost its vote while it was frozen or down never learns of it, waits for nothing, and counts for nothing at the next loss. Evidence: the log of that process has no line about joining after the freeze. Ruled out: that the leader refuses it.

A process now asks also while it hears no leader, and the leader's answer says whether the membership in force names it. It logs vote_lost once, and follows the leader's address that it was told.

--- a/snipebridge/consensus/replica.py
+++ b/snipebridge/consensus/replica.py
@@ -157,11 +157,16 @@
         return self._driver.core.state.term if self._driver else 0
 
     def leader_address(self) -> str:
-        """Return host:port of the leader, empty when unknown."""
+        """Return host:port of the leader, empty when unknown.
+
+        What others told goes first while no leader sends its log here.
+        """
         if self._driver is None:
             return ''
         known = self._address(self._driver.core.state.leader_name)
-        return known or ('' if self.is_voter() else self.told_leader_address)
+        if self.follows_leader():
+            return known
+        return self.told_leader_address or known
 
     def identity(self) -> str:
         """Return the identity of the data folder, empty before the start."""
@@ -174,6 +179,15 @@
         state = self._driver.core.state
         return state.electorate.counts(state.name, state.identity)
 
+    def follows_leader(self) -> bool:
+        """Tell whether a leader was heard lately, or this replica leads."""
+        if self._driver is None:
+            return False
+        core = self._driver.core
+        heard_for_s = self._clock.monotonic_s() - core.state.heard_s
+        is_heard = heard_for_s < self._timing.election_timeout_s
+        return core.is_leader or (bool(core.state.leader_name) and is_heard)
+
     def hears(self, name: str) -> bool:
         """Tell whether a member answered this leader lately."""
         if self._driver is None:
--- a/snipebridge/control/service.py
+++ b/snipebridge/control/service.py
@@ -57,11 +57,16 @@
     async def Join(self, request: JoinRequest, context) -> JoinReply:
         """Note a process that asks to vote; tell it who the members are."""
         reply = JoinReply(leader_address=self._leader_address())
-        reply.controls.extend(
-            member.address for member in self._replica.members()
-        )
+        members = self._replica.members()
+        reply.controls.extend(member.address for member in members)
         if self._answers():
             reply.leader = True
+            reply.voter = any(
+                member.voter
+                and (member.name, member.identity)
+                == (request.name, request.identity)
+                for member in members
+            )
             candidate = Candidate(
                 request.name,
                 request.identity,
--- a/snipebridge/fleet/joining.py
+++ b/snipebridge/fleet/joining.py
@@ -2,6 +2,10 @@
 
 It knows some addresses from its settings, of which some may be gone. Any
 member answers with the members that it knows and the leader's address.
+
+A process's own log can't tell it that its vote is gone: the leader sends the
+log to members only. So a process that hears no leader asks as well, and the
+leader answers with what the membership in force says.
 """
 
 import asyncio
@@ -10,7 +14,7 @@
 
 import grpc
 
-from snipebridge.logs import log_event
+from snipebridge.logs import log_decision, log_event
 from snipebridge.rpc.channels import ChannelPool
 from snipebridge.rpc.control_pb2 import JoinReply, JoinRequest
 from snipebridge.rpc.control_pb2_grpc import ControlStub
@@ -29,16 +33,19 @@
     told_leader_address: str
 
     def is_voter(self) -> bool:
-        """Tell whether the log names this data folder as a voter."""
+        """Tell whether the log here names this data folder as a voter."""
+
+    def follows_leader(self) -> bool:
+        """Tell whether a leader sends its log here, or this process leads."""
 
     def identity(self) -> str:
         """Return the identity of the data folder."""
 
 
 class Joining:
-    """Asks the leader until the log names this process as a voter."""
+    """Asks the leader until this process votes and follows a leader."""
 
-    __slots__ = ('_addresses', '_pool', '_process')
+    __slots__ = ('_addresses', '_has_vote', '_pool', '_process')
 
     def __init__(
         self,
@@ -50,28 +57,47 @@
         self._pool = pool
         self._process = process
         self._addresses = list(seeds)
+        self._has_vote = False
 
     async def run(self, replica: JoiningReplica, own_address: str) -> None:
-        """Ask whenever the log does not name this data folder."""
+        """Ask whenever this data folder has no vote, or may have lost it."""
         while True:
-            if not replica.is_voter():
-                request = JoinRequest(
-                    name=self._process.name,
-                    address=own_address,
-                    data_centre=self._process.data_centre,
-                    identity=replica.identity(),
-                )
-                told = await self._ask(request)
-                replica.told_leader_address = told
+            if replica.is_voter() and replica.follows_leader():
+                self._has_vote = True
+                replica.told_leader_address = ''
+            else:
+                reply = await self._ask(self._request(replica, own_address))
+                replica.told_leader_address = reply.leader_address
+                self._note_vote(reply)
             await asyncio.sleep(ASK_INTERVAL_S)
 
     def set_seeds(self, seeds: Sequence[str]) -> None:
         """Take addresses of settings that were read again."""
         self._addresses = list(dict.fromkeys((*seeds, *self._addresses)))
 
-    async def _ask(self, request: JoinRequest) -> str:
-        """Ask every known process once; return where the leader is."""
-        leader_address = ''
+    def _request(
+        self, replica: JoiningReplica, own_address: str
+    ) -> JoinRequest:
+        return JoinRequest(
+            name=self._process.name,
+            address=own_address,
+            data_centre=self._process.data_centre,
+            identity=replica.identity(),
+        )
+
+    def _note_vote(self, reply: JoinReply) -> None:
+        """Log once that the membership in force gave the vote away."""
+        if reply.leader and self._has_vote and not reply.voter:
+            log_decision('vote_lost', leader=reply.leader_address)
+        if reply.leader:
+            self._has_vote = reply.voter
+
+    async def _ask(self, request: JoinRequest) -> JoinReply:
+        """Ask every known process once; return the leader's reply if any.
+
+        Otherwise the reply holds an address of the leader, if one is told.
+        """
+        found = JoinReply()
         replies = await asyncio.gather(
             *(self._ask_one(address, request) for address in self._addresses)
         )
@@ -80,8 +106,9 @@
                 continue
             known = dict.fromkeys((*self._addresses, *reply.controls))
             self._addresses = list(known)
-            leader_address = reply.leader_address or leader_address
-        return leader_address
+            if reply.leader or (reply.leader_address and not found.leader):
+                found = reply
+        return found
 
     async def _ask_one(
         self, address: str, request: JoinRequest
--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -147,3 +147,23 @@
         assert leader.rpc_address
 
     run(tmp_path, scenario)
+
+
+def test_process_that_lost_its_vote_while_away_asks_for_one(tmp_path):
+    """Guards against a process that trusts its own log about its vote.
+
+    The leader sends its log to members only, so the log of a process that
+    was replaced while it was away names it as a voter for good.
+    """
+
+    async def scenario(fleet):
+        await fleet.start(4)
+        await fleet.stop(2)
+        await fleet.voters(1, 3, 4)
+        await fleet.start(2)
+        await asyncio.sleep(2.0)
+        assert fleet.running[2].leadership.replica.leader_address()
+        await fleet.stop(1)
+        await fleet.voters(2, 3, 4)
+
+    run(tmp_path, scenario)
