Move the vote of a control process before it ends, not after a silence

Cause: who votes was inferred from 3 s of silence on top of an election timeout. A process that got SIGTERM kept its vote, and its successor, though up for long, got the log only once the vote moved.

- A process that stops hands the lead over, tells the leader that it leaves, and runs on until its vote has moved, 3 s at most.
Without a process that waits it keeps its vote and ends at once.
- Waiting processes hold the log as members without a vote, as many as losses are borne, so a vote moves in one entry and the removal follows at once: while four vote, three are a quorum.
- Metrics, `voters` in the status page and the line voters_short.

--- a/snipebridge/admin/pages.py
+++ b/snipebridge/admin/pages.py
@@ -38,6 +38,7 @@
         'number': machine.configuration.number,
         'in_force': asdict(leadership.in_force()),
         'controls': member_list(leadership.replica),
+        'voters': asdict(leadership.routed.voters),
         'entries': _entries(leadership),
         'signs': _signs(leadership),
         'rollouts': _rollouts(leadership),
--- a/snipebridge/consensus/interfaces.py
+++ b/snipebridge/consensus/interfaces.py
@@ -36,6 +36,9 @@
     async def stop(self) -> None:
         """Stop; a leader hands leadership over first where it can."""
 
+    async def hand_over(self) -> None:
+        """Leave the lead to another member where there is one to take it."""
+
     def is_leader(self) -> bool:
         """Tell whether the leader lease of this replica is valid now."""
 
@@ -61,5 +64,14 @@
     def members(self) -> Sequence[Member]:
         """Return the members of the log as of the applied state."""
 
+    def hears(self, member: Member) -> bool:
+        """Tell whether a member's data folder answered this leader lately."""
+
+    def is_refused_by(self, name: str) -> bool:
+        """Tell whether nothing listens at a member's address any more."""
+
+    def is_caught_up(self, member: Member) -> bool:
+        """Tell whether a member holds all that is committed, and lives."""
+
     async def change_member(self, member: Member, *, remove: bool) -> None:
         """Add, promote or remove one member; one change at a time."""
--- a/snipebridge/consensus/replica.py
+++ b/snipebridge/consensus/replica.py
@@ -46,6 +46,8 @@
 from snipebridge.settings.models import Settings
 
 CHANGE_TIMEOUT_S = 60.0
+# The next step of a change must not wait long for the one before.
+CHANGE_POLL_S = 0.01
 MAX_COMMAND_BYTES = 8_388_608
 
 
@@ -123,20 +125,23 @@
 
     async def stop(self) -> None:
         """Hand the lead over, stop, and release the data folder."""
+        await self.hand_over()
         if self._driver is not None:
-            await self._hand_over(self._driver)
             await self._driver.stop()
             await self._transport.close()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(self._disk_thread, self._storage.close)
         self._disk_thread.shutdown()
 
-    async def _hand_over(self, driver: Driver) -> None:
+    async def hand_over(self) -> None:
         """Leave the lead to another voter, and wait until it has it.
 
         Where no voter has caught up within an election timeout, or the
         successor is not heard of, the others elect one by themselves.
         """
+        driver = self._driver
+        if driver is None:
+            return
         core = driver.core
         has_led = core.is_leader
         deadline_s = self._clock.monotonic_s() + self._timing.election_timeout_s
@@ -188,13 +193,24 @@
         is_heard = heard_for_s < self._timing.election_timeout_s
         return core.is_leader or (bool(core.state.leader_name) and is_heard)
 
-    def hears(self, name: str) -> bool:
-        """Tell whether a member answered this leader lately."""
+    def hears(self, member: Member) -> bool:
+        """Tell whether a member's data folder answered this leader lately."""
         if self._driver is None:
             return False
         timeout_s = self._timing.election_timeout_s
         since_s = self._clock.monotonic_s() - timeout_s
-        return bool(self._driver.core.seen_identity(name, since_s))
+        seen = self._driver.core.seen_identity(member.name, since_s)
+        return bool(seen) and member.identity in {'', seen}
+
+    def is_refused_by(self, name: str) -> bool:
+        """Tell whether nothing listens at a member's address any more."""
+        return self._transport is not None and self._transport.is_refused(name)
+
+    def is_caught_up(self, member: Member) -> bool:
+        """Tell whether a member holds all that is committed, and lives."""
+        return self._driver is not None and self._driver.core.is_caught_up(
+            member.name, member.identity
+        )
 
     async def submit(self, commands: Sequence[Command]) -> list[CommandResult]:
         """Append commands; return once durable on a quorum and applied."""
@@ -250,7 +266,9 @@
             if step is Pending.DONE:
                 return
             if isinstance(step, Membership):
-                await self._propose_membership(driver, step)
+                is_in_force = await self._propose_membership(driver, step)
+                if is_in_force:
+                    continue
             elif not driver.core.is_leader:
                 raise driver.not_leader()
             await asyncio.sleep(self._timing.heartbeat_interval_s)
@@ -259,22 +277,24 @@
         self,
         driver: Driver,
         membership: Membership,
-    ) -> None:
+    ) -> bool:
+        """Tell whether it is in force, or another change was under way."""
         core = driver.core
         try:
             index = core.propose_membership(
                 membership, self._clock.monotonic_s()
             )
         except MembershipBusyError:
-            return
+            return False
         term = core.state.term
         driver.notice()
         while driver.applied_index < index:
             if driver.failure is not None or core.state.term != term:
                 raise OutcomeUnknownError('leadership was lost')
-            await asyncio.sleep(self._timing.heartbeat_interval_s / 2)
+            await asyncio.sleep(CHANGE_POLL_S)
         if core.state.log.term_at(index) != term:
             raise OutcomeUnknownError('leadership was lost')
+        return True
 
     def _running(self) -> Driver:
         if self._driver is None:
--- a/snipebridge/consensus/transport.py
+++ b/snipebridge/consensus/transport.py
@@ -28,6 +28,8 @@
 KEEPALIVE_INTERVAL_MS = 5_000
 KEEPALIVE_TIMEOUT_MS = 2_000
 IDLE_LIMIT_S = 3.0
+# One refused call may be an old connection that was closed.
+REFUSALS_OF_ENDED = 2
 
 _SIZE_OPTIONS = (
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
@@ -78,6 +80,15 @@
             self._peers[name] = peer
         peer.put(envelope)
 
+    def is_refused(self, name: str) -> bool:
+        """Tell whether new connections to a peer are refused.
+
+        A process that ended is refused at once. One that is frozen or cut
+        off does not answer, which shows only in time.
+        """
+        peer = self._peers.get(name)
+        return peer is not None and peer.refusals >= REFUSALS_OF_ENDED
+
     async def close(self) -> None:
         """Stop all tasks and close all channels."""
         for peer in self._peers.values():
@@ -99,6 +110,7 @@
         '_task',
         '_timing',
         '_used_s',
+        'refusals',
     )
 
     def __init__(
@@ -119,6 +131,8 @@
         self._address = ''
         self._used_s = 0.0
         self._failures = 0
+        # Consecutive calls that were refused or reset.
+        self.refusals = 0
         self._task = asyncio.create_task(self._run())
 
     def put(self, envelope: Envelope) -> None:
@@ -142,10 +156,12 @@
             except Exception as error:
                 # An address that can't be parsed must not end the task.
                 self._log_first(error)
+                self.refusals = self.refusals + 1 if _is_refusal(error) else 0
                 await self._recover()
             else:
                 self._log_regained()
                 self._failures = 0
+                self.refusals = 0
 
     async def _deliver(self, batch: Envelopes) -> None:
         address = self._resolve(self._name)
@@ -206,6 +222,13 @@
         return batch
 
 
+def _is_refusal(error: Exception) -> bool:
+    return (
+        isinstance(error, aio.AioRpcError)
+        and error.code() is grpc.StatusCode.UNAVAILABLE
+    )
+
+
 def make_channel_opener(tls: PeerTlsSettings) -> OpenChannel:
     """Return how to open a channel, with TLS where its files are set."""
     if not tls.ca_file:
--- a/snipebridge/control/leader.py
+++ b/snipebridge/control/leader.py
@@ -159,7 +159,7 @@
     def _clear(self) -> None:
         self.reports = ReportAggregator()
         self.entry_list: EntryList | None = None
-        self.routed = RoutedState()
+        self.routed = RoutedState(since_s=self.clock.monotonic_s())
         self.withdrawals = make_withdrawals()
         self.shares: Mapping[str, Sequence[AccountShare]] = {}
         # Under way at an entry process that is known to be gone.
--- a/snipebridge/control/metrics.py
+++ b/snipebridge/control/metrics.py
@@ -77,6 +77,16 @@
             machine.records.unknown_count(),
         )
         if in_office:
+            voters = leadership.routed.voters
+            self._set(
+                'voters_staying',
+                'Voters of the log that can be counted on.',
+                voters.staying,
+            )
+            self._set('voters_wanted', 'Voters to have.', voters.wanted)
+            self._set(
+                'standbys', 'Members ready to take a vote.', voters.standbys
+            )
             self._set(
                 'number_in_force',
                 'Configuration number in force at all entries.',
--- a/snipebridge/control/process.py
+++ b/snipebridge/control/process.py
@@ -165,6 +165,9 @@
         if self._routed is not None:
             await self._routed.close()
         # The other members still reach the replica while it hands over.
+        await self.leadership.replica.hand_over()
+        if self._settings.seeds.addresses:
+            await self._joining.leave(self.leadership.replica, self.rpc_address)
         await self.leadership.replica.stop()
         await self._forwarder.close()
         await self._server.stop(_SERVER_GRACE_S)
--- a/snipebridge/control/service.py
+++ b/snipebridge/control/service.py
@@ -10,7 +10,7 @@
 from snipebridge.control.leader import Leadership
 from snipebridge.control.metrics import ControlMetrics
 from snipebridge.controllers.members import EntryHost
-from snipebridge.fleet.electorate import Candidate
+from snipebridge.fleet.electorate import Candidate, has_successor
 from snipebridge.rpc import control_pb2_grpc
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
@@ -55,7 +55,10 @@
         return answer_heartbeat(self._leadership, request)
 
     async def Join(self, request: JoinRequest, context) -> JoinReply:
-        """Note a process that asks to vote; tell it who the members are."""
+        """Note a process that asks to vote, or that is about to stop.
+
+        It is told who the members are, and by the leader whether it votes.
+        """
         reply = JoinReply(leader_address=self._leader_address())
         members = self._replica.members()
         reply.controls.extend(member.address for member in members)
@@ -67,17 +70,35 @@
                 == (request.name, request.identity)
                 for member in members
             )
-            candidate = Candidate(
-                request.name,
-                request.identity,
-                request.address,
-                request.data_centre,
-            )
-            self._leadership.routed.ask(
-                candidate, self._leadership.clock.monotonic_s()
-            )
+            self._note_asker(request)
+            reply.vote_moves = reply.voter and self._vote_moves(request)
         return reply
 
+    def _note_asker(self, request: JoinRequest) -> None:
+        routed = self._leadership.routed
+        now_s = self._leadership.clock.monotonic_s()
+        if request.leaving:
+            routed.leave(request.name, now_s)
+            return
+        candidate = Candidate(
+            request.name,
+            request.identity,
+            request.address,
+            request.data_centre,
+        )
+        routed.ask(candidate, now_s)
+
+    def _vote_moves(self, request: JoinRequest) -> bool:
+        """Tell whether a process that leaves has a successor, or may have."""
+        routed = self._leadership.routed
+        now_s = self._leadership.clock.monotonic_s()
+        if not request.leaving:
+            return False
+        return not routed.knows_candidates(now_s) or has_successor(
+            self._replica.members(),
+            routed.candidates(now_s),
+        )
+
     async def Submit(self, request: SubmitRequest, context) -> SubmitReply:
         """Append an entry's commands; answer once they are durable."""
         if not self._answers():
--- a/snipebridge/fleet/electorate.py
+++ b/snipebridge/fleet/electorate.py
@@ -1,20 +1,27 @@
 """Who should vote on the log, from the losses it must bear.
 
 With ``tolerated_losses`` losses at once, twice as many voters and one more
-are needed; further control processes stay ready to take a lost one's place.
-
->>> members = [MemberView(name, name, is_voter=True, is_live=True)
-...     for name in 'abc']
+are needed. Further control processes wait; some of them are standbys, members
+that hold the log and do not vote, so that one entry of the log gives them the
+vote of a process that is lost or about to stop.
+
+>>> members = [MemberView(name, name, is_voter=True) for name in 'abc']
+>>> next_order(members, [Candidate('d', 'd')], tolerated_losses=1)
+MemberOrder(name='d', kind=<OrderKind.ADD: 'add'>)
+>>> members.append(MemberView('d', 'd', is_voter=False))
 >>> next_order(members, [], tolerated_losses=1) is None
 True
->>> members[2].is_live = False
->>> next_order(members, [Candidate('d', 'd')], tolerated_losses=1).name
-'d'
+>>> members[2].is_leaving = True
+>>> next_order(members, [], tolerated_losses=1)
+MemberOrder(name='d', kind=<OrderKind.PROMOTE: 'promote'>)
 """
 
+import enum
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from snipebridge.rpc.consensus_pb2 import Member
+
 
 @dataclass(slots=True)
 class MemberView:
@@ -23,8 +30,19 @@
     name: str
     identity: str
     is_voter: bool
-    # False once it has been silent for longer than a restart takes.
-    is_live: bool
+    # False while its data folder does not answer.
+    is_live: bool = True
+    # It has been silent for longer than a restart takes.
+    is_gone: bool = False
+    # It is about to stop as planned.
+    is_leaving: bool = False
+    # It holds all that is committed.
+    is_caught_up: bool = True
+
+    @property
+    def stays(self) -> bool:
+        """Tell whether it can be counted on."""
+        return self.is_live and not self.is_leaving
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,13 +55,42 @@
     data_centre: str = ''
 
 
+@enum.unique
+class OrderKind(enum.Enum):
+    """What becomes of one member."""
+
+    # A standby, under the identity of the folder that asked.
+    ADD = 'add'
+    PROMOTE = 'promote'
+    REMOVE = 'remove'
+
+
 @dataclass(slots=True, frozen=True)
 class MemberOrder:
-    """One change of the members."""
+    """One change of one member."""
 
     name: str
-    remove: bool = False
-    candidate: Candidate | None = None
+    kind: OrderKind
+
+
+@dataclass(slots=True, frozen=True)
+class VoterCount:
+    """Voters that can be counted on, voters that are wanted, and standbys."""
+
+    staying: int
+    wanted: int
+    standbys: int
+
+
+def count_voters(
+    members: Sequence[MemberView], tolerated_losses: int
+) -> VoterCount:
+    """Return how many losses of disks the log is ready for."""
+    return VoterCount(
+        staying=sum(one.is_voter and one.stays for one in members),
+        wanted=2 * tolerated_losses + 1,
+        standbys=len(_ready_standbys(members)),
+    )
 
 
 def next_order(
@@ -53,22 +100,71 @@
 ) -> MemberOrder | None:
     """Return the change that is due, or nothing.
 
-    A member that came back with an empty data folder is replaced first: its
-    old identity can't vote any more.
+    A vote moves in two orders: the successor gets one before the other voter
+    loses its own, so that what is committed in between is on as many disks.
+    A voter without a successor keeps its vote, since it may come back.
     """
-    wanted = 2 * tolerated_losses + 1
+    count = count_voters(members, tolerated_losses)
+    voters = [member for member in members if member.is_voter]
+    if len(voters) > count.wanted and count.staying < len(voters):
+        return _take_vote(voters, candidates)
+    standbys = _ready_standbys(members)
+    if count.staying < count.wanted and standbys:
+        return MemberOrder(standbys[0].name, OrderKind.PROMOTE)
     for candidate in candidates:
         if _lost_its_folder(members, candidate):
-            return MemberOrder(candidate.name, candidate=candidate)
-    voters = [member for member in members if member.is_voter]
-    live = sum(member.is_live for member in voters)
-    newcomer = _newcomer(members, candidates)
-    if live < wanted and newcomer is not None:
-        return MemberOrder(newcomer.name, candidate=newcomer)
-    dead = next((one for one in voters if not one.is_live), None)
-    if len(voters) > wanted and dead is not None:
-        return MemberOrder(dead.name, remove=True)
-    return None
+            return MemberOrder(candidate.name, OrderKind.ADD)
+    return _next_standby(members, candidates, count, tolerated_losses)
+
+
+def has_successor(
+    members: Sequence[Member],
+    candidates: Sequence[Candidate],
+) -> bool:
+    """Tell whether a process that leaves should wait until its vote moved.
+
+    Processes without a vote ask for one several times a second, standbys
+    too, so each that waits is among the candidates.
+    """
+    voters = {member.name for member in members if member.voter}
+    return any(one.name not in voters for one in candidates)
+
+
+def _take_vote(
+    voters: Sequence[MemberView], candidates: Sequence[Candidate]
+) -> MemberOrder:
+    """Take the vote of one that is silent or leaving, the silent one first."""
+    leaving = min(
+        (one for one in voters if not one.stays), key=lambda one: one.is_live
+    )
+    is_back = any(one.name == leaving.name for one in candidates)
+    kind = OrderKind.ADD if is_back else OrderKind.REMOVE
+    return MemberOrder(leaving.name, kind)
+
+
+def _next_standby(
+    members: Sequence[MemberView],
+    candidates: Sequence[Candidate],
+    count: VoterCount,
+    tolerated_losses: int,
+) -> MemberOrder | None:
+    standbys = [member for member in members if not member.is_voter]
+    staying = sum(member.stays for member in standbys)
+    names = {member.name for member in members}
+    newcomer = next((one for one in candidates if one.name not in names), None)
+    missing = max(tolerated_losses, count.wanted - count.staying) - staying
+    if missing > 0 and newcomer is not None:
+        return MemberOrder(newcomer.name, OrderKind.ADD)
+    gone = next((one for one in standbys if one.is_gone), None)
+    return MemberOrder(gone.name, OrderKind.REMOVE) if gone else None
+
+
+def _ready_standbys(members: Sequence[MemberView]) -> list[MemberView]:
+    return [
+        member
+        for member in members
+        if not member.is_voter and member.stays and member.is_caught_up
+    ]
 
 
 def _lost_its_folder(
@@ -78,10 +174,3 @@
         member.name == candidate.name and member.identity != candidate.identity
         for member in members
     )
-
-
-def _newcomer(
-    members: Sequence[MemberView], candidates: Sequence[Candidate]
-) -> Candidate | None:
-    voters = {member.name for member in members if member.is_voter}
-    return next((one for one in candidates if one.name not in voters), None)
--- a/snipebridge/fleet/joining.py
+++ b/snipebridge/fleet/joining.py
@@ -23,6 +23,10 @@
 # A replaced host must vote within some four seconds of its start, one of which
 # the start itself takes.
 ASK_INTERVAL_S = 0.25
+# A planned stop waits for so long at most until its vote has moved: a leader
+# is elected, takes office, hears of the processes that wait, and moves it.
+LEAVE_LIMIT_S = 3.0
+LEAVE_INTERVAL_S = 0.1
 # As long as a heartbeat of an entry may take.
 _ASK_TIMEOUT_S = 0.8
 
@@ -75,6 +79,27 @@
         """Take addresses of settings that were read again."""
         self._addresses = list(dict.fromkeys((*seeds, *self._addresses)))
 
+    async def leave(self, replica: JoiningReplica, own_address: str) -> None:
+        """Run on until a process that waits has the vote, if there is one.
+
+        Nothing is waited for where no other process answers.
+        """
+        request = self._request(replica, own_address)
+        request.leaving = True
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT_S):
+                reply = await self._ask(request)
+                while reply.vote_moves or (reply.controls and not reply.leader):
+                    await asyncio.sleep(LEAVE_INTERVAL_S)
+                    reply = await self._ask(request)
+        except TimeoutError:
+            log_decision('vote_kept', reason='no successor in time')
+            return
+        log_decision(
+            'vote_kept' if reply.voter else 'vote_moved',
+            reason='' if reply.leader else 'no leader answered',
+        )
+
     def _request(
         self, replica: JoiningReplica, own_address: str
     ) -> JoinRequest:
@@ -98,18 +123,29 @@
         Otherwise the reply holds an address of the leader, if one is told.
         """
         found = JoinReply()
-        replies = await asyncio.gather(
-            *(self._ask_one(address, request) for address in self._addresses)
-        )
-        for reply in replies:
-            if reply is None:
-                continue
-            known = dict.fromkeys((*self._addresses, *reply.controls))
-            self._addresses = list(known)
-            if reply.leader or (reply.leader_address and not found.leader):
-                found = reply
+        calls = [
+            asyncio.ensure_future(self._ask_one(address, request))
+            for address in self._addresses
+        ]
+        try:
+            for call in asyncio.as_completed(calls):
+                found = self._better(found, await call)
+                if found.leader:
+                    break
+        finally:
+            for call in calls:
+                call.cancel()
         return found
 
+    def _better(self, found: JoinReply, reply: JoinReply | None) -> JoinReply:
+        """Return the reply that says more of the leader."""
+        if reply is None:
+            return found
+        known = dict.fromkeys((*self._addresses, *reply.controls))
+        self._addresses = list(known)
+        is_better = reply.leader or reply.leader_address or not found.controls
+        return reply if is_better else found
+
     async def _ask_one(
         self, address: str, request: JoinRequest
     ) -> JoinReply | None:
--- a/snipebridge/fleet/state.py
+++ b/snipebridge/fleet/state.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from snipebridge.fleet.electorate import Candidate
+from snipebridge.fleet.electorate import Candidate, VoterCount
 from snipebridge.fleet.evidence import SoftwareEvidence
 from snipebridge.fleet.loads import (
     FleetLoads,
@@ -29,8 +29,11 @@
 # A draw is passed on for this long, so that it reaches entries whose last
 # heartbeat came just before; they keep it for the rest of the session.
 DRAW_VALID_S = 1.2
-# A control process asks to join several times a second while it is up.
+# A control process asks to join several times a second while it is up, and
+# tells as often that it is about to stop.
 CANDIDATE_VALID_S = 1.0
+# By then a new leader was asked by each process that waits to vote.
+CANDIDATES_KNOWN_AFTER_S = 0.6
 _TERM_BITS = 32
 
 
@@ -69,6 +72,10 @@
     rate_limits: FleetRateLimits = field(default_factory=FleetRateLimits)
     crashes: PromptCrashes = field(default_factory=PromptCrashes)
     packed: PackedDocument = field(default_factory=PackedDocument)
+    # When this leadership took office.
+    since_s: float = 0.0
+    voters: VoterCount = VoterCount(0, 0, 0)
+    _leaving_s: dict[str, float] = field(default_factory=dict)
     _asked: dict[str, _Asked] = field(default_factory=dict)
     _draws: deque[_Draws] = field(default_factory=deque)
 
@@ -120,6 +127,23 @@
         """Note a control process that asks to vote."""
         self._asked[candidate.name] = _Asked(candidate, now_s)
 
+    def leave(self, name: str, now_s: float) -> None:
+        """Note a control process that is about to stop."""
+        self._asked.pop(name, None)
+        self._leaving_s[name] = now_s
+
+    def leaving(self, now_s: float) -> set[str]:
+        """Return the processes that are about to stop, by name."""
+        return {
+            name
+            for name, told_s in self._leaving_s.items()
+            if now_s - told_s <= CANDIDATE_VALID_S
+        }
+
+    def knows_candidates(self, now_s: float) -> bool:
+        """Tell whether each process that waits has had time to ask."""
+        return now_s - self.since_s >= CANDIDATES_KNOWN_AFTER_S
+
     def candidates(self, now_s: float) -> list[Candidate]:
         """Return the processes that asked lately, by name."""
         return [
--- a/tests/control/test_duty_failures.py
+++ b/tests/control/test_duty_failures.py
@@ -85,7 +85,6 @@
                 settings,
                 leadership,
                 ListOnce(),
-                lambda name: True,
                 make_supervisor(),
             )
             running = asyncio.create_task(duties.run())
--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -50,6 +50,18 @@
         """Stop a process; its data folder stays."""
         await self.running.pop(number).stop()
 
+    async def kill(self, number):
+        """End a process at once: it tells nobody, and refuses connections."""
+        process = self.running.pop(number)
+        for task in process._tasks:
+            task.cancel()
+        replica = process.leadership.replica
+        await replica._driver.stop()
+        await replica._transport.close()
+        await process._server.stop(None)
+        process._http.stop()
+        replica._storage.close()
+
     async def leader(self):
         """Wait for the process that is in office."""
         while True:
@@ -64,6 +76,11 @@
         command = RoutingCommand(version=version, document=b'{}')
         await leader.leadership.replica.submit([Command(routing=command)])
 
+    async def follower(self, *numbers):
+        """Return the first of these that does not lead."""
+        leader = await self.leader()
+        return next(one for one in numbers if self.running[one] is not leader)
+
     async def voters(self, *numbers):
         """Wait until exactly these vote."""
         wanted = {f'127.0.3.{number}:{self.port}' for number in numbers}
@@ -167,3 +184,74 @@
         await fleet.voters(2, 3, 4)
 
     run(tmp_path, scenario)
+
+
+def test_planned_stop_leaves_its_vote_to_the_process_that_waits(tmp_path):
+    """Guards against a vote that dies with a process that was replaced.
+
+    One second after the old process has ended, the disk of another one is
+    lost: without the successor's vote no majority is left for good.
+    """
+
+    async def scenario(fleet):
+        await fleet.start(4)
+        await asyncio.sleep(1.0)
+        await fleet.stop(1)
+        await asyncio.sleep(1.0)
+        await fleet.put(2)
+        await fleet.kill(2)
+        await fleet.put(3)
+        await fleet.start(2, folder='c2-empty')
+        await fleet.voters(2, 3, 4)
+        await fleet.put(4)
+
+    run(tmp_path, scenario)
+
+
+def test_process_that_ended_by_itself_is_followed_at_once(tmp_path):
+    """Guards against waiting out a silence where connections are refused."""
+
+    async def scenario(fleet):
+        await fleet.start(4)
+        await asyncio.sleep(1.0)
+        ended = await fleet.follower(1, 2, 3)
+        await fleet.kill(ended)
+        await asyncio.sleep(1.0)
+        lost = await fleet.follower(*{1, 2, 3} - {ended})
+        await fleet.kill(lost)
+        await fleet.put(2)
+
+    run(tmp_path, scenario)
+
+
+def test_planned_stop_without_a_successor_keeps_the_vote(tmp_path):
+    """Guards against restarts that shrink the electorate, or that wait."""
+
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+        for number in (1, 2, 3):
+            started_s = loop.time()
+            await fleet.stop(number)
+            assert loop.time() - started_s < 2.0
+            await fleet.voters(1, 2, 3)
+            await fleet.start(number)
+            await fleet.put(number + 1)
+
+    run(tmp_path, scenario)
+
+
+def test_two_planned_stops_in_a_row_use_both_successors(tmp_path):
+    """Guards against a second stop that finds no standby in time."""
+
+    async def scenario(fleet):
+        await fleet.start(4)
+        await fleet.start(5)
+        await asyncio.sleep(1.0)
+        await fleet.stop(1)
+        await fleet.stop(2)
+        async with asyncio.timeout(1.0):
+            await fleet.voters(3, 4, 5)
+        await fleet.kill(3)
+        await fleet.put(2)
+
+    run(tmp_path, scenario)
--- a/tests/memory_replica.py
+++ b/tests/memory_replica.py
@@ -33,6 +33,21 @@
     def add_to_server(self, server) -> None:
         """A single member has no peers to answer."""
 
+    async def hand_over(self) -> None:
+        """There is no other member."""
+
+    def hears(self, member: Member) -> bool:
+        """The only member hears itself."""
+        return True
+
+    def is_refused_by(self, name: str) -> bool:
+        """The only member reaches itself."""
+        return False
+
+    def is_caught_up(self, member: Member) -> bool:
+        """The only member holds its own log."""
+        return True
+
     def is_leader(self) -> bool:
         """Tell what the test set."""
         return self.leads
