Refuse every key where the list of accounts is empty

Cause: an empty list of accounts and an absent one were read into the same empty tuple, and RoutingTable.requires_keys took it for a configuration without keys. Evidence: both entries log version 2 in force with 0 accounts while the requests run, so the change is not late.

The table now holds None or a list. null counts as absent, as a merge patch leaves it.

--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -138,7 +138,7 @@
             'routing_in_force',
             version=table.version,
             routes=len(table.routes),
-            accounts=len(table.accounts),
+            accounts=None if table.accounts is None else len(table.accounts),
         )
 
     def _take_replicas(self, reply: HeartbeatReply) -> None:
--- a/snipebridge/routing/documents.py
+++ b/snipebridge/routing/documents.py
@@ -125,9 +125,11 @@
     routes = tuple(
         _read_route(section, services) for section in root.sections('routes')
     )
-    accounts = tuple(map(_read_account, root.sections('accounts')))
+    accounts = None
+    if root.has('accounts'):
+        accounts = tuple(map(_read_account, root.sections('accounts')))
+        _check_keys(accounts)
     _check_unique_routes(routes)
-    _check_keys(accounts)
     limits = CallerLimits()
     if root.has('limits'):
         limits = _read_limits(root.section('limits'))
--- a/snipebridge/routing/tables.py
+++ b/snipebridge/routing/tables.py
@@ -129,7 +129,8 @@
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = field(default_factory=dict)
-    accounts: tuple[RoutedAccount, ...] = ()
+    # None: requests need no key. Empty: no key works.
+    accounts: tuple[RoutedAccount, ...] | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     _by_host: dict[str, list[Route]] = field(init=False, repr=False)
     _by_key: dict[str, RoutedAccount] = field(init=False, repr=False)
@@ -143,13 +144,15 @@
         for route in longest_first:
             self._by_host.setdefault(route.host, []).append(route)
         self._by_key = {
-            key: account for account in self.accounts for key in account.keys
+            key: account
+            for account in self.accounts or ()
+            for key in account.keys
         }
 
     @property
     def requires_keys(self) -> bool:
         """Tell whether requests need the key of an account."""
-        return bool(self.accounts)
+        return self.accounts is not None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching prefix."""
--- a/tests/routing/test_documents.py
+++ b/tests/routing/test_documents.py
@@ -40,6 +40,25 @@
     assert table.limits.idle_timeout_s == 9.0
 
 
+@pytest.mark.parametrize(
+    ('accounts', 'requires_keys'),
+    [('absent', False), (None, False), ([], True)],
+)
+def test_an_empty_list_of_accounts_is_not_an_absent_one(
+    accounts, requires_keys
+):
+    """Guards against requests without a key once the last account is gone."""
+
+    def change(document):
+        document['accounts'] = accounts
+        if accounts == 'absent':
+            document.pop('accounts')
+
+    table = read_table(changed(change))
+    assert table.requires_keys is requires_keys
+    assert table.find_account('k1') is None
+
+
 def test_longest_prefix_of_the_host_wins():
     """A shorter prefix matches paths that the longer one does not."""
 
