End the reading of a list of replicas that never ends

A list that sends a status line, header names, one header, interim responses or chunk extensions without end was never read again: entries and the leader kept the last list and did not see replicas drain. The header names filled memory as well.

Cause: the client of outside systems limited headers and bodies. Bytes that are neither were not counted, and since they kept coming no time-out passed. Replica connections had the limit already.

Bytes between two of a body are limited now.

--- a/snipebridge/upstreams/client.py
+++ b/snipebridge/upstreams/client.py
@@ -26,6 +26,9 @@
 
 _HEADER_LIMIT_BYTES = 65_536
 _BODY_LIMIT_BYTES = 67_108_864
+# Limit of what comes between two bytes of a body: the status line, interim
+# responses, chunk extensions, trailers.
+_OVERHEAD_LIMIT_BYTES = 2 * _HEADER_LIMIT_BYTES
 _FIRST_FINAL_STATUS = 200
 _MS_PER_S = 1000
 _DEFAULT_PORTS = {'http': 80, 'https': 443}
@@ -94,6 +97,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers = HTTPHeaders()
         self._head_bytes = 0
+        self._overhead_bytes = 0
         self._body_bytes = 0
         self._chunks: list[bytes] = []
         self._has_head = False
@@ -114,8 +118,10 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and pass the body on."""
         self._last_byte_s = self._loop.time()
+        self._overhead_bytes += len(data)
         try:
             self._feed(data)
+            self._check_overhead()
         except Exception as error:
             self._complete(error)
 
@@ -159,6 +165,7 @@
     def on_body(self, chunk: bytes) -> None:
         """Buffer a chunk until the current read is parsed."""
         self._body_bytes += len(chunk)
+        self._overhead_bytes = 0
         if self._body_bytes > _BODY_LIMIT_BYTES:
             raise InvalidResponseError('the response body is too large')
         self._chunks.append(chunk)
@@ -193,6 +200,16 @@
         if not self.completed.done():
             self._deliver()
 
+    def _check_overhead(self) -> None:
+        """Raise where bytes keep coming that are no body.
+
+        They would neither be counted nor let a time-out pass.
+        """
+        if self._overhead_bytes > _OVERHEAD_LIMIT_BYTES:
+            raise InvalidResponseError(
+                f'{self._overhead_bytes} bytes came without a body'
+            )
+
     def _deliver(self) -> None:
         if not self._chunks:
             return
