Keep a draft where the route allows no second run

Cause: escalation asked for attempts and retry budget, and only the check before the next run asked whether there may be one. Evidence: a draft line with a next model, then "may have run and must not be retried".

AttemptLimits.runs_allowed says in one place how often a request may run; attempts left, escalation, retries and the choice of the first model count from it. Such a request runs on the largest model, as with one attempt.

--- a/snipebridge/relay/attempt_limits.py
+++ b/snipebridge/relay/attempt_limits.py
@@ -79,12 +79,12 @@
             self._dependencies.retries.refund(self._exchange.progress.service)
 
     def attempts_left(self) -> int:
-        """Return how many attempts the route still allows."""
-        return (
-            self._route.attempts_limit
-            - self.dispatch_count
-            + self.refused_count
-        )
+        """Return how many more runs the route allows."""
+        return self.runs_allowed() - self.dispatch_count + self.refused_count
+
+    def runs_allowed(self) -> int:
+        """Return how often the request may run at most."""
+        return self._route.attempts_limit if self._route.allows_retry else 1
 
     def may_escalate(self) -> bool:
         """Tell whether an attempt with a stronger model is allowed now."""
--- a/snipebridge/relay/model_selection.py
+++ b/snipebridge/relay/model_selection.py
@@ -40,7 +40,7 @@
         if self._exchange.request.model not in _ANY_MODEL:
             return ''
         return self._dependencies.tiers.first_tier(
-            self._tiers, self._exchange.route.attempts_limit
+            self._tiers, self._limits.runs_allowed()
         )
 
     def next_model(self, attempt: Attempt) -> str:
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -359,6 +359,23 @@
     run(scenario())
 
 
+def test_draft_that_may_not_run_again_is_kept():
+    """Guards against a route that is never served, its answers dropped."""
+    document = copy.deepcopy(DOCUMENT)
+    for route in document['routes']:
+        route['resumable'] = False
+
+    async def scenario():
+        replica = PlatformReplica('m1', 'models', '127.0.0.1')
+        replica.faults.confidence = {'small': 10, 'large': 10}
+        async with RunningEntry(replica, document=document) as entry:
+            statuses = [(await entry.chat()).status for _ in range(5)]
+            assert set(statuses) == {200}
+            assert len(replica.runs) == 5
+
+    asyncio.run(scenario())
+
+
 def test_low_confidence_draft_is_escalated_to_the_large_model():
     """The caller gets no part of the draft."""
 
