--- a/snipebridge/fleet/joining.py
+++ b/snipebridge/fleet/joining.py
@@ -93,12 +93,14 @@
                     await asyncio.sleep(LEAVE_INTERVAL_S)
                     reply = await self._ask(request)
         except TimeoutError:
-            log_decision('vote_kept', reason='no successor in time')
+            log_decision('vote_kept', reason='it did not move in time')
             return
-        log_decision(
-            'vote_kept' if reply.voter else 'vote_moved',
-            reason='' if reply.leader else 'no leader answered',
-        )
+        if not reply.leader:
+            log_decision('vote_kept', reason='no leader answered')
+        elif reply.voter:
+            log_decision('vote_kept', reason='no process waits for it')
+        else:
+            log_decision('vote_moved', leader=reply.leader_address)
 
     def _request(
         self, replica: JoiningReplica, own_address: str
