--- a/snipebridge/relay/stopping.py
+++ b/snipebridge/relay/stopping.py
@@ -7,13 +7,12 @@
 >>> times = RunTimes()
 >>> for _ in range(3):
 ...     times.add('look', 2.0)
->>> times.longest_s('look') >= 2.0, times.longest_s('book')
-(True, 0.0)
+>>> times.usual_s('look'), times.usual_s('book')
+(2.0, 0.0)
 """
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from snipebridge.clock import Clock
@@ -22,11 +21,8 @@
 from snipebridge.relay.errors import NotRunError, RelayError
 from snipebridge.relay.exchange import RelayExchange
 
-# Gains of a mean and its deviation: RFC 6298, section 2.
+# Weight of the newest time in the mean.
 _MEAN_GAIN = 0.125
-_DEVIATION_GAIN = 0.25
-# So many deviations above the mean few times lie.
-_DEVIATIONS = 2.0
 # Another entry takes the request at once.
 _RETRY_AFTER_S = 0.02
 
@@ -38,34 +34,28 @@
     status = HTTPStatus.BAD_GATEWAY
 
 
-@dataclass(slots=True)
-class _Times:
-    mean_s: float
-    deviation_s: float = 0.0
-
-
 class RunTimes:
-    """How long the requests of each route take."""
+    """How long the requests of each route take.
+
+    The mean decides: a caller that is refused may come back to this entry
+    until the balancer has taken it out, so a refusal must be the likelier way
+    to an answer.
+    """
 
-    __slots__ = ('_by_route',)
+    __slots__ = ('_mean_s',)
 
     def __init__(self) -> None:
         """Start without a route."""
-        self._by_route: dict[str, _Times] = {}
+        self._mean_s: dict[str, float] = {}
 
     def add(self, route: str, spent_s: float) -> None:
         """Count a request that was answered."""
-        times = self._by_route.setdefault(route, _Times(spent_s))
-        off_s = spent_s - times.mean_s
-        times.mean_s += _MEAN_GAIN * off_s
-        times.deviation_s += _DEVIATION_GAIN * (abs(off_s) - times.deviation_s)
+        mean_s = self._mean_s.setdefault(route, spent_s)
+        self._mean_s[route] = mean_s + _MEAN_GAIN * (spent_s - mean_s)
 
-    def longest_s(self, route: str) -> float:
-        """Return what few requests exceed, 0 where none is known."""
-        times = self._by_route.get(route)
-        if times is None:
-            return 0.0
-        return times.mean_s + _DEVIATIONS * times.deviation_s
+    def usual_s(self, route: str) -> float:
+        """Return the mean time, 0 where none is known."""
+        return self._mean_s.get(route, 0.0)
 
 
 class PlannedStop:
@@ -102,7 +92,7 @@
         """
         if exchange.deadline_s <= self.end_s:
             return self.end_s
-        return self.end_s - self._times.longest_s(exchange.route.name)
+        return self.end_s - self._times.usual_s(exchange.route.name)
 
 
 class StopFilter:
