Let a stopping control process wait until its vote is taken away

Cause: the leader told a process that leaves to wait while another one waits for a vote. Once the successor had one, nobody waited, and the leaver ended before the entry that takes its vote was committed: of four voters it and the one whose disk was lost were gone.

It waits now while there are more voters than wanted, too.

--- a/snipebridge/control/service.py
+++ b/snipebridge/control/service.py
@@ -10,7 +10,7 @@
 from snipebridge.control.leader import Leadership
 from snipebridge.control.metrics import ControlMetrics
 from snipebridge.controllers.members import EntryHost
-from snipebridge.fleet.electorate import Candidate, has_successor
+from snipebridge.fleet.electorate import Candidate, vote_moves
 from snipebridge.rpc import control_pb2_grpc
 from snipebridge.rpc.control_pb2 import (
     HeartbeatReply,
@@ -89,14 +89,15 @@
         routed.ask(candidate, now_s)
 
     def _vote_moves(self, request: JoinRequest) -> bool:
-        """Tell whether a process that leaves has a successor, or may have."""
+        """Tell whether the vote of a process that leaves moves, or may move."""
         routed = self._leadership.routed
         now_s = self._leadership.clock.monotonic_s()
         if not request.leaving:
             return False
-        return not routed.knows_candidates(now_s) or has_successor(
+        return not routed.knows_candidates(now_s) or vote_moves(
             self._replica.members(),
             routed.candidates(now_s),
+            routed.voters.wanted,
         )
 
     async def Submit(self, request: SubmitRequest, context) -> SubmitReply:
--- a/snipebridge/fleet/electorate.py
+++ b/snipebridge/fleet/electorate.py
@@ -117,16 +117,18 @@
     return _next_standby(members, candidates, count, tolerated_losses)
 
 
-def has_successor(
-    members: Sequence[Member],
-    candidates: Sequence[Candidate],
+def vote_moves(
+    members: Sequence[Member], candidates: Sequence[Candidate], wanted: int
 ) -> bool:
-    """Tell whether a process that leaves should wait until its vote moved.
+    """Tell whether a voter that leaves should wait until its vote moved.
 
-    Processes without a vote ask for one several times a second, standbys
-    too, so each that waits is among the candidates.
+    It should while a process waits for a vote: those without one ask several
+    times a second, standbys too. And it should while its successor votes
+    beside it: its own vote still counts towards a majority.
     """
     voters = {member.name for member in members if member.voter}
+    if len(voters) > wanted:
+        return True
     return any(one.name not in voters for one in candidates)
 
 
--- a/tests/fleet/test_electorate.py
+++ b/tests/fleet/test_electorate.py
@@ -9,8 +9,8 @@
     MemberView,
     OrderKind,
     count_voters,
-    has_successor,
     next_order,
+    vote_moves,
 )
 from snipebridge.rpc.consensus_pb2 import Member
 
@@ -117,9 +117,15 @@
 def test_stop_waits_only_for_one_that_waits():
     """Guards against stops that wait for nobody, or for a voter."""
     members = [Member(name=name, voter=True) for name in 'abc']
-    assert not has_successor(members, [])
-    assert not has_successor(members, make_candidates('b'))
-    assert has_successor(members, make_candidates('bd'))
+    assert not vote_moves(members, [], wanted=3)
+    assert not vote_moves(members, make_candidates('b'), wanted=3)
+    assert vote_moves(members, make_candidates('bd'), wanted=3)
+
+
+def test_stop_waits_until_the_vote_is_taken_away():
+    """Guards against an end between the two changes that move a vote."""
+    members = [Member(name=name, voter=True) for name in 'abcd']
+    assert vote_moves(members, [], wanted=3)
 
 
 @pytest.mark.parametrize('seed', range(40))
--- a/tests/fleet/voter_schedules.py
+++ b/tests/fleet/voter_schedules.py
@@ -18,7 +18,7 @@
 )
 from snipebridge.consensus.errors import ConsensusError
 from snipebridge.consensus.messages import Timing
-from snipebridge.fleet.electorate import Candidate, OrderKind, has_successor
+from snipebridge.fleet.electorate import Candidate, OrderKind, vote_moves
 from snipebridge.fleet.joining import (
     ASK_INTERVAL_S,
     LEAVE_INTERVAL_S,
@@ -261,7 +261,11 @@
             routed = leader.routed
             return votes and (
                 not routed.knows_candidates(self.now_s)
-                or has_successor(members, routed.candidates(self.now_s))
+                or vote_moves(
+                    members,
+                    routed.candidates(self.now_s),
+                    routed.voters.wanted,
+                )
             )
         return None
 
