--- a/tests/consensus/schedules.py
+++ b/tests/consensus/schedules.py
@@ -314,8 +314,13 @@
             host.thaw()
             host.start()
 
+    def _newest_leader(self):
+        """Return the leader of the highest term; an older one may linger."""
+        leading = [host for host in self.hosts.values() if host.leads()]
+        return max(leading, key=lambda host: host.core.state.term, default=None)
+
     def _agrees(self) -> bool:
-        leader = self.leader()
+        leader = self._newest_leader()
         if leader is None or self.wanted is not None:
             return False
         members = leader.core.membership.members
