--- a/fakes/platform_replica.py
+++ b/fakes/platform_replica.py
@@ -135,6 +135,8 @@
         self.connections = 0
         # When it crashed, by the clock of the event loop.
         self.crashes: list[float] = []
+        # The requests under which it crashed, in the order of `crashes`.
+        self.crashed_under: list[ReplicaRun] = []
         self._crash: asyncio.Task | None = None
         self._rng = random.Random(name)
         # The last refusal on each connection.
@@ -284,7 +286,7 @@
             headers.append(('Transfer-Encoding', 'chunked'))
         writer.write(_head(200, headers, None))
         if run.shares_part(self.faults.crashes_on):
-            self._crash_soon()
+            self._crash_soon(run)
         start = int(run.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
             await self._event(run, writer, number, number - start)
@@ -313,17 +315,18 @@
     async def _run_deadly(self, run: ReplicaRun) -> None:
         if self._rng.random() >= self.faults.crash_share:
             return
-        self._crash_soon()
+        self._crash_soon(run)
         if 'x-prefix-hash' not in run.headers:
             await asyncio.sleep(_NEVER_S)
 
-    def _crash_soon(self) -> None:
+    def _crash_soon(self, run: ReplicaRun) -> None:
         if self._crash is None:
-            self._crash = asyncio.create_task(self._crash_and_return())
+            self._crash = asyncio.create_task(self._crash_and_return(run))
 
-    async def _crash_and_return(self) -> None:
+    async def _crash_and_return(self, run: ReplicaRun) -> None:
         await asyncio.sleep(self.faults.crash_delay_s)
         self.crashes.append(asyncio.get_running_loop().time())
+        self.crashed_under.append(run)
         await self._end()
         await asyncio.sleep(self.faults.restart_s)
         self.name = f'{self.name.partition(".")[0]}.{len(self.crashes)}'
