Take a replica that is still down for lost once

Cause: each refused connection to a replica counted as a crash at that moment, once 1.5 s had gone since the last one. Such losses have no suspect or a bystander, and lower the share of crashes that the cause explains.

A refused connection now shows a crash only where a run has begun at the replica since its last one. A broken run that is followed by refused connections counts as before. The log line says which of both it was. The new tests drive the new method and fail on the code before for want of it.

--- a/snipebridge/policy/prompt_runs.py
+++ b/snipebridge/policy/prompt_runs.py
@@ -34,6 +34,7 @@
 # A run that broke off this close to a loss was ended by it.
 _BREAK_S = 0.5
 _MAX_RUNS = 4096
+_MAX_DOWN = 1024
 _MAX_SOUND = 4096
 _MAX_SOUND_TIMES = 16
 _MAX_SUSPECTS = 64
@@ -131,6 +132,8 @@
         default_factory=lambda: deque(maxlen=_MAX_RUNS)
     )
     _lost_s: dict[str, float] = field(default_factory=dict)
+    # Replicas that have begun no run here since they were lost, oldest first.
+    _down: dict[str, float] = field(default_factory=dict)
     _suspects: deque[CrashSuspect] = field(
         default_factory=lambda: deque(maxlen=_MAX_SUSPECTS)
     )
@@ -140,6 +143,8 @@
     def record_began(self, replica: str, run: PromptRun, now_s: float) -> None:
         """Add a run whose first token has come."""
         self._settle(now_s)
+        if now_s > self._down.get(replica, now_s):
+            self._down.pop(replica)
         self._runs.append(_RecentRun(run, replica, now_s))
 
     def record_cut(self, replica: str, request: str) -> None:
@@ -169,9 +174,22 @@
         if self.was_lost_near(replica, lost_s):
             return False
         self._lost_s[replica] = lost_s
+        self._down.pop(replica, None)
+        self._down[replica] = lost_s
+        while len(self._down) > _MAX_DOWN:
+            self._down.pop(next(iter(self._down)))
         self._suspects.extend(self._suspects_of(replica, lost_s))
         return True
 
+    def record_refused(self, replica: str, now_s: float) -> bool:
+        """Note a refused connection; tell whether it shows a new crash.
+
+        A replica that is still down since its last crash refuses them too.
+        """
+        return replica not in self._down and self.record_lost(
+            replica, now_s, now_s
+        )
+
     def was_lost_near(self, replica: str, moment_s: float) -> bool:
         """Tell whether a replica is known to have crashed about then."""
         known_s = self._lost_s.get(replica)
--- a/snipebridge/relay/crash_watch.py
+++ b/snipebridge/relay/crash_watch.py
@@ -68,7 +68,8 @@
         replica = attempt.choice.replica
         now_s = self._clock.monotonic_s()
         if isinstance(error, RefusedError):
-            self._record_lost(replica, now_s)
+            if self._guard.runs.record_refused(replica.id, now_s):
+                self._report_lost(replica, now_s, noticed_by='refusal')
         elif isinstance(error, InvalidResponseError):
             run = prompt_run(exchange)
             if attempt.head is None:
@@ -107,12 +108,18 @@
 
     def _record_lost(self, replica: Replica, lost_s: float) -> None:
         now_s = self._clock.monotonic_s()
-        if not self._guard.runs.record_lost(replica.id, lost_s, now_s):
-            return
+        if self._guard.runs.record_lost(replica.id, lost_s, now_s):
+            self._report_lost(replica, lost_s, noticed_by='broken_run')
+
+    def _report_lost(
+        self, replica: Replica, lost_s: float, *, noticed_by: str
+    ) -> None:
+        now_s = self._clock.monotonic_s()
         log_decision(
             'replica_lost',
             replica=replica.id,
             service=replica.service,
+            noticed_by=noticed_by,
             lost_ago_ms=round((now_s - lost_s) * 1000),
             running=replica.running,
         )
--- a/tests/policy/test_prompt_crashes.py
+++ b/tests/policy/test_prompt_crashes.py
@@ -248,3 +248,21 @@
     for step in range(50):
         crashes.find((), (), 10.0 + step * 0.2)
     assert len(scored) <= 2 * 6
+
+
+def test_replica_that_is_still_down_is_not_lost_again():
+    """Each refused connection counted as one more crash, with bystanders."""
+    runs = PromptRuns()
+    assert runs.record_lost('r1', 5.0, 5.0)
+    refused = [runs.record_refused('r1', 5.0 + 2.0 * one) for one in range(8)]
+    assert not any(refused)
+    assert runs.losses(15.0) == {'r1': 5.0}
+
+
+def test_replica_that_answered_again_is_lost_again():
+    """It has started under the same name."""
+    runs = PromptRuns()
+    runs.record_lost('r1', 5.0, 5.0)
+    runs.record_began('r1', run_of('d1'), 8.0)
+    assert runs.record_refused('r1', 9.0)
+    assert runs.losses(9.0) == {'r1': 9.0}
