Tell the leader how long runs had lasted when a replica crashed

A run that was ended by a crash half a second after it began was no evidence, though a cause ends its replica at once.

Suspected runs carry the time that they had lasted (a new field, so an older build reports none and nothing counts then).

--- a/snipebridge/fleet/prompts.py
+++ b/snipebridge/fleet/prompts.py
@@ -35,7 +35,7 @@
         digest = one.digest or one.request
         run = PromptRun(one.request, one.service, tuple(one.parts), digest)
         suspect = CrashSuspect(
-            run, one.replica, now_s - one.age_s, one.has_begun
+            run, one.replica, now_s - one.age_s, one.has_begun, one.ran_s
         )
         crashes.take(suspect)
     for one in request.sound_parts:
--- a/snipebridge/relay/prompt_guard.py
+++ b/snipebridge/relay/prompt_guard.py
@@ -77,6 +77,7 @@
                 parts=one.run.identities,
                 digest=one.run.digest,
                 has_begun=one.has_begun,
+                ran_s=one.ran_s,
             )
             for one in self.runs.suspects(now_s)
         )
