Give the bodies of requests a share of the memory, all together

Cause: one body was limited, all bodies together were not, and what arrived before the limit was passed was kept.

relay/request_bodies.py keeps a budget, a quarter of the memory that the settings tell (the template passes it on; 64 MiB where they do not). Where it is used up, the unfinished body that got nothing for longest goes with its connection, so the ordinary caller, who sends in one go, stays. Bodies of requests that run are never dropped; a new one is then refused, not run. A body beyond its limit keeps nothing, and one that was too large stays so if the limit rises while it is read.

--- a/bench/platform_system.py
+++ b/bench/platform_system.py
@@ -34,6 +34,8 @@
 
 
 ENTRIES = entry_hosts(2)
+# The memory of the smallest host of an entry.
+MEMORY_MB = 160
 THRESHOLDS = {
     'revocation_ms': 5000,
     'drain_ms': 3000,
@@ -205,6 +207,7 @@
             'internal_ports': [self.rpc, self.pages],
             'seed_nodes': [f'{one}:{self.control}' for one in CONTROLS],
             'bootstrap': bootstrap,
+            'limits': {'memory_mb': MEMORY_MB},
             'data_directory': str(self.folder / f'{host}.data'),
             'fault_tolerance': {'node_failures': 1},
             'thresholds': THRESHOLDS,
--- a/snipebridge/relay/metrics.py
+++ b/snipebridge/relay/metrics.py
@@ -36,6 +36,7 @@
     __slots__ = (
         'added_s',
         'attempts',
+        'body_memory_bytes',
         'connections',
         'first_byte_s',
         'lease_remaining_s',
@@ -88,6 +89,9 @@
         self.open_tunnels = self._gauge(
             'open_tunnels', 'Connections passed on for other entries.'
         )
+        self.body_memory_bytes = self._gauge(
+            'body_memory_bytes', 'Memory of the bodies of requests.'
+        )
         self.log_lines_dropped = self._gauge(
             'log_lines_dropped', 'Log lines dropped because too many came.'
         )
--- a/snipebridge/relay/process.py
+++ b/snipebridge/relay/process.py
@@ -104,6 +104,7 @@
             ),
             codec=HeaderCodec(settings.headers),
             clock=clock,
+            memory_mb=settings.process.memory_mb,
         )
         self._caller_server = make_relay_server(
             self._server_dependencies, CallerLimits()
@@ -250,6 +251,9 @@
         self._metrics.routing_version.set({}, self.table.version)
         self._metrics.connections.set({}, self._pool.opened)
         self._metrics.indirect_replicas.set({}, self._paths.indirect_count)
+        self._metrics.body_memory_bytes.set(
+            {}, self._server_dependencies.bodies.used_bytes
+        )
         self._metrics.open_tunnels.set({}, self._tunnels.open_tunnels)
         self._metrics.log_lines_dropped.set({}, dropped_lines())
 
--- a/snipebridge/relay/server.py
+++ b/snipebridge/relay/server.py
@@ -29,12 +29,15 @@
 from snipebridge.relay.errors import NotRunError, RelayError, TooLargeError
 from snipebridge.relay.exchange import RelayExchange
 from snipebridge.relay.messages import HeaderCodec, Headers
+from snipebridge.relay.request_bodies import BodyBudget, make_body_budget
 from snipebridge.routing.tables import CallerLimits, RoutingTable
 
 # Bytes read beyond the body limit, so that the caller receives the error.
 _DISCARD_LIMIT_BYTES = 1_048_576
 # Another host accepts the request at once.
 _DRAINING_RETRY_AFTER_S = 0.02
+# Requests that hold the memory end within seconds; another host may have some.
+_FULL_RETRY_AFTER_S = 1.0
 _HTTP_1_0 = 'HTTP/1.0'
 # Closing a socket resets its connection: linger on, for no time.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -58,8 +61,15 @@
     filters: Sequence[Filter]
     codec: HeaderCodec
     clock: Clock
+    # The memory of the host, 0 if it is not known.
+    memory_mb: int = 0
+    bodies: BodyBudget = field(init=False)
     running: set[asyncio.Task] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        """Give request bodies their share of the memory."""
+        self.bodies = make_body_budget(self.memory_mb)
+
 
 class TornadoReply:
     """A reply on one request of a tornado connection."""
@@ -135,8 +145,7 @@
         self._connection = connection
         self._line: RequestStartLine | None = None
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = dependencies.bodies.open(self._drop)
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(self, start_line, headers) -> None:
@@ -147,36 +156,41 @@
         self._connection.set_max_body_size(limit + _DISCARD_LIMIT_BYTES)
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body, up to the limit."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes <= self._limits().body_limit_bytes:
-            self._body.append(chunk)
+        """Store a chunk of the body, up to the limits."""
+        self._body.add(chunk, self._limits().body_limit_bytes)
 
     def finish(self) -> None:
         """Run the complete request."""
         self._connection.set_close_callback(self._cancel)
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(self._run(self._body.finish()))
         self._dependencies.running.add(self._task)
         self._task.add_done_callback(self._dependencies.running.discard)
 
     def on_connection_close(self) -> None:
         """Drop an incomplete request."""
+        self._body.release()
         self._cancel()
 
     def _cancel(self) -> None:
         if self._task is not None:
             self._task.cancel()
 
+    def _drop(self) -> None:
+        """Close the connection of a request that was not read to its end."""
+        stream = self._connection.stream
+        if stream is not None:
+            stream.close()
+
     def _limits(self) -> CallerLimits:
         return self._dependencies.source.table.limits
 
-    async def _run(self) -> None:
+    async def _run(self, body: bytes) -> None:
         dependencies = self._dependencies
         reply = TornadoReply(
             self._connection, self._line.version, dependencies.source
         )
         try:
-            await self._run_filters(reply)
+            await self._run_filters(reply, body)
         except RelayError as error:
             await _send_error(reply, error)
         except asyncio.CancelledError:
@@ -186,8 +200,10 @@
             # response for complete.
             reply.abort()
             raise
+        finally:
+            self._body.release()
 
-    async def _run_filters(self, reply: TornadoReply) -> None:
+    async def _run_filters(self, reply: TornadoReply, body: bytes) -> None:
         dependencies = self._dependencies
         if not dependencies.source.accepts_requests:
             raise NotRunError('this host is draining', _DRAINING_RETRY_AFTER_S)
@@ -195,13 +211,17 @@
             self._line.method,
             self._line.path,
             self._headers,
-            b''.join(self._body),
+            body,
             dependencies.clock.monotonic_s(),
         )
         exchange = RelayExchange(request, reply, dependencies.source.table)
-        if self._body_bytes > self._limits().body_limit_bytes:
+        if self._body.is_too_large:
             raise TooLargeError(
-                f'the body of {self._body_bytes} bytes is over the limit'
+                f'the body of {self._body.size_bytes} bytes is over the limit'
+            )
+        if self._body.is_refused:
+            raise NotRunError(
+                'this host has no memory for the body', _FULL_RETRY_AFTER_S
             )
         await run_chain(dependencies.filters, exchange)
 
--- a/snipebridge/settings/loading.py
+++ b/snipebridge/settings/loading.py
@@ -1,7 +1,7 @@
 """Reading a settings file and checking it against the schema.
 
 >>> parse_settings('[process]\\nname = "a"\\ndata_centre = "d"\\n', 'x').process
-ProcessSettings(name='a', data_centre='d', data_folder='', seed=0)
+ProcessSettings(name='a', data_centre='d', data_folder='', seed=0, memory_mb=0)
 """
 
 import dataclasses
--- a/snipebridge/settings/models.py
+++ b/snipebridge/settings/models.py
@@ -15,6 +15,8 @@
     data_centre: str
     data_folder: str = ''
     seed: int = 0
+    # The memory of the host; 0 if the settings do not tell it.
+    memory_mb: int = 0
 
 
 @dataclass(slots=True)
