Lift a held request only where what explains its crashes is needed itself

Cause: a set of causes was compared with one in which nothing explains the other crashes of what overlaps with the held one, so it was always clearly better. What explains may be the bystander itself. The held one is now lifted only if for each cause that shares its crashes the best set with the held one in its place is clearly worse. The result is kept until the next search.

The new test fails on the commit before.

--- a/snipebridge/policy/crash_causes.py
+++ b/snipebridge/policy/crash_causes.py
@@ -221,8 +221,18 @@
     return causes
 
 
-def _add_causes(suspects: Sequence[Suspect], crashes: int) -> list[Suspect]:
-    causes: list[Suspect] = []
+def least_cost(
+    suspects: Sequence[Suspect], crashes: int, kept: Suspect
+) -> float:
+    """Return the cost of the best set that one suspect belongs to."""
+    others = [one for one in suspects if one is not kept]
+    return explanation_cost(_add_causes(others, crashes, [kept]), crashes)
+
+
+def _add_causes(
+    suspects: Sequence[Suspect], crashes: int, kept: Sequence[Suspect] = ()
+) -> list[Suspect]:
+    causes = list(kept)
     least = explanation_cost(causes, crashes)
     while len(causes) < _MAX_CAUSES:
         costs = [explanation_cost([*causes, one], crashes) for one in suspects]
@@ -230,7 +240,7 @@
         if not costs or costs[best] >= least:
             break
         causes.append(suspects[best])
-        causes, least = _drop_needless(causes, crashes)
+        causes, least = _drop_needless(causes, crashes, kept)
     return causes
 
 
@@ -246,10 +256,10 @@
 
 
 def _drop_needless(
-    causes: list[Suspect], crashes: int
+    causes: list[Suspect], crashes: int, kept: Sequence[Suspect]
 ) -> tuple[list[Suspect], float]:
     least = explanation_cost(causes, crashes)
-    for cause in list(causes):
+    for cause in [one for one in causes if one not in kept]:
         others = [one for one in causes if one is not cause]
         cost = explanation_cost(others, crashes)
         if cost <= least:
--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -32,6 +32,7 @@
     explain,
     explanation_cost,
     isolated_crashes,
+    least_cost,
     weigh_suspects,
 )
 from snipebridge.policy.prompt_runs import (
@@ -144,6 +145,8 @@
     _all: int = 0
     _causes: list[Suspect] = field(default_factory=list)
     _established: list[Suspect] = field(default_factory=list)
+    # Whether held parts were explained otherwise in the last search.
+    _explained: dict[SharedPart, bool] = field(default_factory=dict)
 
     def take_loss(self, replica: str, lost_s: float) -> None:
         """Note that a replica was lost at a moment of this clock."""
@@ -209,6 +212,7 @@
         """
         if self._is_settled(quarantined, known, now_s):
             return []
+        self._explained = {}
         self._discard_old(now_s)
         self._crashes.sort(key=lambda one: one.lost_s)
         self._suspects = weigh_suspects(self._crashes, {*quarantined, *known})
@@ -252,7 +256,10 @@
         self, quarantined: Collection[SharedPart]
     ) -> list[SharedPart]:
         """Return held parts whose crashes have a clearly better explanation."""
-        return [part for part in quarantined if self._is_explained(part)]
+        for part in quarantined:
+            if part not in self._explained:
+                self._explained[part] = self._is_explained(part)
+        return [part for part in quarantined if self._explained[part]]
 
     def _is_explained(self, part: SharedPart) -> bool:
         suspect = self._suspects.get(part)
@@ -267,9 +274,17 @@
         # Lifting it frees no request that has another held part as well.
         if left or self._is_within(part, beside):
             return False
-        instead = [one for one in self._causes if one not in beside]
-        cost = explanation_cost([*instead, suspect], self._all)
-        return cost >= explanation_cost(self._causes, self._all) + _CLEAR_COST
+        # Whatever explains its crashes may be the bystander itself.
+        least = explanation_cost(self._causes, self._all) + _CLEAR_COST
+        return all(
+            least_cost(
+                [one for one in self._candidates() if one is not other],
+                self._all,
+                suspect,
+            )
+            >= least
+            for other in beside
+        )
 
     def _is_within(self, part: SharedPart, causes: Collection[Suspect]) -> bool:
         """Tell whether each run with a part has one of the causes as well."""
@@ -318,14 +333,16 @@
             before = min(limit, sum(one.before for one in told))
             suspect.sound_runs = before + sum(one.after for one in told)
 
-    def _explain(self, known: Collection[SharedPart]) -> list[Suspect]:
-        """Return what explains the crashes best, found or not."""
-        suspects = [
+    def _candidates(self) -> list[Suspect]:
+        return [
             self._suspects[part]
             for part in self._questions
             if _may_be_cause(self._suspects[part])
         ]
-        causes = explain(suspects, self._all)
+
+    def _explain(self, known: Collection[SharedPart]) -> list[Suspect]:
+        """Return what explains the crashes best, found or not."""
+        causes = explain(self._candidates(), self._all)
         found = [
             one
             for one in causes
--- a/tests/policy/test_several_causes.py
+++ b/tests/policy/test_several_causes.py
@@ -260,3 +260,26 @@
             bystander = run_of(f'b{name}', 'all', attempt=f'b{name}')
             lose(crashes, number, bystander, ran_s=0.5)
     assert sorted(found(crashes, (), 3.0)) == ['bad0', 'bad1']
+
+
+def test_held_request_that_may_replace_another_cause_is_not_lifted():
+    """The bystander of its crashes explained one more, and it was freed."""
+    crashes = PromptCrashes()
+    held = SharedPart('s', 'request:d1')
+    beside = {
+        'd1': ('all',),
+        'd2': ('all',),
+        'bad': ('all', 'bad'),
+    }
+    for number, names in enumerate(
+        ('d1 d2', 'd1 d2', 'd1 d2', 'd1 d2 bad', 'd2 bad', 'bad', 'bad')
+    ):
+        for name in names.split():
+            digest = f'b{number}' if name == 'bad' else name
+            attempt = f'{name}{number}'
+            run = run_of(digest, *beside[name], attempt=attempt)
+            lose(crashes, number, run)
+    crashes.find([held], (), 1.0)
+    crashes.take_sound('e1', SharedPart('s', 'all'), SoundRuns(after=20))
+    assert found(crashes, [held], 2.0) == ['request:d2', 'bad']
+    assert not crashes.explained_otherwise([held])
