Name what the search of causes keeps, and say what it weighs

Names and comments only: _isolated for the crashes at moments of their own, crash_count for their number, and no parameter that nothing reads.

--- a/snipebridge/fleet/prompts.py
+++ b/snipebridge/fleet/prompts.py
@@ -107,7 +107,7 @@
         if due or lifted:
             log_decision(
                 'prompt_causes',
-                crashes=crashes.count,
+                crashes=crashes.crash_count,
                 causes=[asdict(one) for one in crashes.causes()],
             )
         return due + lifted
--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -139,10 +139,10 @@
     # Counts what was learned, so that nothing is searched without news.
     _news: int = 0
     _last_search: _Search | None = None
-    # As of the last search: all suspects, the crashes to be explained, the
-    # causes that explain them best, and those of them that are held or found.
+    # As of the last search: all suspects, the crashes at moments of their own,
+    # the causes that explain them best, and those that are held or found.
     _suspects: dict[SharedPart, Suspect] = field(default_factory=dict)
-    _all: int = 0
+    _isolated: int = 0
     _causes: list[Suspect] = field(default_factory=list)
     _established: list[Suspect] = field(default_factory=list)
     # Whether held parts were explained otherwise in the last search.
@@ -176,7 +176,7 @@
         ]
 
     @property
-    def count(self) -> int:
+    def crash_count(self) -> int:
         """How many crashes are known."""
         return len(self._crashes)
 
@@ -218,8 +218,8 @@
         self._suspects = weigh_suspects(self._crashes, {*quarantined, *known})
         self._ask(known, now_s)
         self._complete(known)
-        self._all = isolated_crashes(self._crashes)
-        self._causes = self._explain(known)
+        self._isolated = isolated_crashes(self._crashes)
+        self._causes = self._explain()
         self._established = [
             one
             for one in self._causes
@@ -275,11 +275,11 @@
         if left or self._is_within(part, beside):
             return False
         # Whatever explains its crashes may be the bystander itself.
-        least = explanation_cost(self._causes, self._all) + _CLEAR_COST
+        least = explanation_cost(self._causes, self._isolated) + _CLEAR_COST
         return all(
             least_cost(
                 [one for one in self._candidates() if one is not other],
-                self._all,
+                self._isolated,
                 suspect,
             )
             >= least
@@ -340,27 +340,27 @@
             if _may_be_cause(self._suspects[part])
         ]
 
-    def _explain(self, known: Collection[SharedPart]) -> list[Suspect]:
-        """Return what explains the crashes best, found or not."""
-        causes = explain(self._candidates(), self._all)
-        found = [
+    def _explain(self) -> list[Suspect]:
+        """Return what explains the crashes best, ready to be held or not."""
+        causes = explain(self._candidates(), self._isolated)
+        return [
             one
             for one in causes
             if one.part.is_request or self._explains_enough(one, causes)
         ]
-        return causes if len(found) == len(causes) else found
 
     def _explains_enough(
         self, suspect: Suspect, causes: Collection[Suspect]
     ) -> bool:
-        others = 0
+        """Tell whether it explains enough of what others leave unexplained."""
+        explained = 0
         for one in causes:
             if one is not suspect and one.weight >= THRESHOLD:
-                others |= one.beside
-        others &= ~suspect.beside
+                explained |= one.beside
+        explained &= ~suspect.beside
         meanwhile = sum(
             suspect.first_lost_s <= one.lost_s <= suspect.last_lost_s
-            and not others >> number & 1
+            and not explained >> number & 1
             for number, one in enumerate(self._crashes)
         )
         return suspect.crashes >= _MIN_EXPLAINED_SHARE * meanwhile
