--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -6,14 +6,23 @@
 
 import pytest
 
-from bench.platform_system import PlatformSystem, entry_hosts
+from bench.platform_system import (
+    CONTROLS,
+    MEMORY_MB,
+    PlatformSystem,
+    entry_hosts,
+    fetch,
+)
 from fakes.platform_caller import DOCUMENT
 
 ENTRIES = entry_hosts(1)
 ANSWERED = 200
 BODY_LIMIT_BYTES = 1_048_576
-# The smallest host that an entry runs on.
-MEMORY_LIMIT_BYTES = 160_000_000
+BYTES_PER_MB = 1_000_000
+MEMORY_LIMIT_BYTES = MEMORY_MB * BYTES_PER_MB
+# The memory of a host of control, and the body limit of its listener.
+CONTROL_MEMORY_BYTES = 296 * BYTES_PER_MB
+CONTROL_BODY_BYTES = 4_194_304
 _PAGE_BYTES = 4096
 _PIECE_BYTES = 65_536
 _READING_S = 8.0
@@ -136,3 +145,31 @@
     assert outcome['alive']
     assert outcome['peak'] < MEMORY_LIMIT_BYTES
     assert outcome['status'] == ANSWERED
+
+
+def test_unfinished_bodies_at_control_leave_room_for_operators(tmp_path):
+    """Nothing limits what all of them hold together."""
+    head = 'PUT /admin/v1/routing HTTP/1.1\r\nHost: a.example\r\n'
+    head += f'Content-Length: {CONTROL_BODY_BYTES}\r\n\r\n'
+    content = head.encode() + b'x' * (CONTROL_BODY_BYTES - 1)
+    host = CONTROLS[0]
+
+    async def scenario():
+        system = PlatformSystem(tmp_path / 'system', (), ENTRIES)
+        async with asyncio.timeout(100), system:
+            process = system.processes[host]
+            peaks = []
+            watching = asyncio.create_task(watch_memory(process.pid, peaks))
+            crowd = Crowd((host, system.control), 100, content)
+            sending = asyncio.create_task(crowd.send())
+            await asyncio.wait({sending}, timeout=20)
+            await asyncio.sleep(_READING_S)
+            status, _ = await fetch(f'http://{host}:{system.control}/healthz')
+            crowd.close()
+            watching.cancel()
+            sending.cancel()
+            assert process.is_alive
+            assert max(peaks) < CONTROL_MEMORY_BYTES
+            assert status == ANSWERED
+
+    asyncio.run(scenario())
