Count only its own crashes for the share of a cause's runs

Cause: a part that the best set needed for a few crashes was held by the weight of all crashes that it had been beside. The share of its runs that is needed to hold it now counts only the crashes that the set attributes to it.

--- a/snipebridge/policy/crash_causes.py
+++ b/snipebridge/policy/crash_causes.py
@@ -126,7 +126,11 @@
     @property
     def share(self) -> float:
         """In which share of its runs it may have crashed a replica."""
-        weight = self.weight
+        return self.share_of(self.beside)
+
+    def share_of(self, crashes: int) -> float:
+        """Return the share of its runs that explains a set of crashes."""
+        weight = self.weigh(crashes)
         return weight / (weight + self.misses) if weight else 0.0
 
     @property
@@ -246,13 +250,24 @@
 
 def explanation_cost(causes: Collection[Suspect], crashes: int) -> float:
     """Return what a set of causes costs with the crashes it leaves open."""
-    left = ~0
     cost = 0.0
-    # A crash beside several causes is due to the most likely one.
+    for cause, explained in attribute(causes):
+        cost += cause.cost(explained)
+        crashes &= ~explained
+    return cost + _UNEXPLAINED_COST * crashes.bit_count()
+
+
+def attribute(causes: Collection[Suspect]) -> list[tuple[Suspect, int]]:
+    """Return the crashes that each cause of a set explains.
+
+    A crash beside several causes is due to the most likely one.
+    """
+    attributed = []
+    left = ~0
     for cause in sorted(causes, key=_likelihood, reverse=True):
-        cost += cause.cost(cause.beside & left)
+        attributed.append((cause, cause.beside & left))
         left &= ~cause.beside
-    return cost + _UNEXPLAINED_COST * (crashes & left).bit_count()
+    return attributed
 
 
 def _drop_needless(
--- a/snipebridge/policy/prompt_crashes.py
+++ b/snipebridge/policy/prompt_crashes.py
@@ -29,6 +29,7 @@
 from snipebridge.policy.crash_causes import (
     Crash,
     Suspect,
+    attribute,
     explain,
     explanation_cost,
     isolated_crashes,
@@ -222,8 +223,9 @@
         self._causes = self._explain()
         self._established = [
             one
-            for one in self._causes
-            if one.part in quarantined or self._is_ready(one, known, now_s)
+            for one, explained in attribute(self._causes)
+            if one.part in quarantined
+            or self._is_ready(one, explained, known, now_s)
         ]
         return [
             FoundPart(one.part, one.crashes, one.count)
@@ -366,15 +368,26 @@
         return suspect.crashes >= _MIN_EXPLAINED_SHARE * meanwhile
 
     def _is_ready(
-        self, suspect: Suspect, known: Collection[SharedPart], now_s: float
+        self,
+        suspect: Suspect,
+        explained: int,
+        known: Collection[SharedPart],
+        now_s: float,
     ) -> bool:
+        """Tell whether there is enough evidence to hold a cause.
+
+        For the share of its runs the crashes of other causes do not count.
+        """
         part = suspect.part
-        question = self._questions[part]
-        if now_s - question.asked_s < ANSWER_S:
+        if now_s - self._questions[part].asked_s < ANSWER_S:
             return False
         if part in known:
             return suspect.weight >= KNOWN_THRESHOLD
-        return suspect.weight >= THRESHOLD and suspect.count >= _MIN_WITNESSES
+        return (
+            suspect.weight >= THRESHOLD
+            and suspect.count >= _MIN_WITNESSES
+            and suspect.share_of(explained) >= _least_share(part)
+        )
 
     def _crash(self, replica: str, lost_s: float) -> Crash:
         for crash in self._crashes:
@@ -396,5 +409,8 @@
 
 def _may_be_cause(suspect: Suspect) -> bool:
     """Tell whether replicas were lost under enough of its runs."""
-    least = _MIN_REQUEST_SHARE if suspect.part.is_request else _MIN_PART_SHARE
-    return suspect.share >= least
+    return suspect.share >= _least_share(suspect.part)
+
+
+def _least_share(part: SharedPart) -> float:
+    return _MIN_REQUEST_SHARE if part.is_request else _MIN_PART_SHARE
--- a/tests/policy/test_several_causes.py
+++ b/tests/policy/test_several_causes.py
@@ -283,3 +283,18 @@
     crashes.take_sound('e1', SharedPart('s', 'all'), SoundRuns(after=20))
     assert found(crashes, [held], 2.0) == ['request:d2', 'bad']
     assert not crashes.explained_otherwise([held])
+
+
+def test_crashes_of_other_causes_do_not_count_against_a_shared_part():
+    """It was held for a few new crashes, since it had been beside the old."""
+    crashes = PromptCrashes()
+    held = SharedPart('s', 'old')
+    for number in range(6):
+        run = run_of(f'd{number}', 'all', 'old', attempt=f'a{number}')
+        lose(crashes, number, run)
+    assert found(crashes, (), 2.0) == ['old']
+    for number in range(6, 10):
+        run = run_of(f'd{number}', 'all', attempt=f'a{number}')
+        lose(crashes, number, run)
+    crashes.take_sound('e1', SharedPart('s', 'all'), SoundRuns(after=7))
+    assert not found(crashes, [held], 4.0)
