--- a/review/system_2.py
+++ b/review/system_2.py
@@ -40,12 +40,12 @@
         self._deploy = tomllib.loads((_ROOT / 'deploy/system.toml').read_text())
         self._record = record
         self._began_s = time.monotonic()
-        record.write_text('')
+        record.write_text('', encoding='utf-8')
 
     def note(self, text: str) -> None:
         """Add a line to the record, with the seconds since the start."""
         passed_s = time.monotonic() - self._began_s
-        with self._record.open('a') as lines:
+        with self._record.open('a', encoding='utf-8') as lines:
             lines.write(f'{passed_s:7.3f} {text}\n')
 
     def start(self, host: str, *, bootstrap: bool = False) -> None:
