--- a/review/system_2.py
+++ b/review/system_2.py
@@ -90,6 +90,10 @@
         except (BenchError, OSError, TimeoutError) as error:
             system.note(f'the case could not run: {error!r}')
             return NOT_RUN
+        finally:
+            # Also where the start itself failed.
+            for process in system.processes.values():
+                process.kill()
     system.note('the rule held' if holds else 'the rule was broken')
     return HELD if holds else BROKEN
 
