Encode names one-to-one in heads, and refuse those that can't be a value

An account named with a line break added headers to its requests, or got 502 for each; an empty name sent no header.

Cause: names of the configuration and of the replica list were written into heads with errors='replace' and without a check, beside headers of callers, which are Latin-1 by their parsing. Evidence: the document is read back as sent and decision:request has the right account, so only the head is wrong; replicas log the bytes. The same on related paths: model tiers, ids of replicas, the chat form, the target of a tunnel.

What can't be a value is refused with its place where the configuration comes in; where one is in force already, only its own requests are refused, as not run. write_head writes every head and raises on CR, LF, NUL and letters outside Latin-1.

Entries of both builds send names of Latin-1 alike (test_mixed_builds).

--- a/snipebridge/admin/routing.py
+++ b/snipebridge/admin/routing.py
@@ -23,8 +23,9 @@
 )
 from snipebridge.control.leader import Leadership
 from snipebridge.logs import log_decision
-from snipebridge.routing.documents import read_table
+from snipebridge.routing.documents import check_names, read_table
 from snipebridge.routing.errors import DocumentError
+from snipebridge.routing.tables import RoutingTable
 from snipebridge.rpc.commands_pb2 import (
     Command,
     CommandResult,
@@ -78,6 +79,7 @@
         document = request.body.encode()
         try:
             table = read_table(document)
+            self._check_names(table, document)
         except DocumentError as error:
             log_decision('routing_refused', reason=error.message)
             raise AdminError(
@@ -97,6 +99,15 @@
         )
         return json_response({'version': result.number, 'taken': is_taken})
 
+    def _check_names(self, table: RoutingTable, document: bytes) -> None:
+        """Raise `DocumentError` for a new name that replicas can't be told.
+
+        What is in force was acknowledged, maybe by an earlier release, and is
+        acknowledged again.
+        """
+        if document != self._leadership.machine.routing.document:
+            check_names(table)
+
     async def _order_rollout(self, request: AdminRequest) -> AdminResponse:
         order = _read_order(request.body)
         result = await self._submit(Command(software_rollout=order))
--- a/snipebridge/relay/filters.py
+++ b/snipebridge/relay/filters.py
@@ -16,6 +16,7 @@
 )
 from snipebridge.relay.exchange import RelayExchange
 from snipebridge.relay.metrics import RelayMetrics
+from snipebridge.routing.tables import Route, RoutedAccount
 
 # A host without a configuration has just started, most likely together with
 # all others; control then has a leader about two seconds later.
@@ -144,6 +145,7 @@
         if exchange.route is None:
             self._freshness.check()
             raise UnknownRouteError(f'no route for host {request.host}')
+        _check_names(exchange.route)
         limit_bytes = exchange.table.limits.body_limit_bytes
         if len(request.body) > limit_bytes:
             raise TooLargeError(f'the body is over {limit_bytes} bytes')
@@ -182,9 +184,16 @@
             self._freshness.check()
             raise UnknownKeyError('no account has this key')
         exchange.account = account
+        _check_names(account)
         await proceed()
 
 
+def _check_names(owner: Route | RoutedAccount) -> None:
+    """Raise `NotRunError` if a replica can't be told a name."""
+    if owner.fault:
+        raise NotRunError(owner.fault)
+
+
 class DeadlineFilter:
     """Sets the deadline and the priority of a request."""
 
--- a/snipebridge/relay/forwarding.py
+++ b/snipebridge/relay/forwarding.py
@@ -32,6 +32,7 @@
 from snipebridge.routing.tables import Route, RouteKind
 from snipebridge.upstreams.connections import IDLE_LIMIT_S
 from snipebridge.upstreams.errors import (
+    InvalidHeadError,
     InvalidResponseError,
     ResponseTimeoutError,
     UpstreamError,
@@ -150,9 +151,7 @@
         progress.replica = attempt.choice.replica.id
         progress.software = attempt.choice.replica.software
         progress.model = attempt.choice.model
-        content = self._dependencies.codec.render(
-            self._request, self._dispatch(attempt)
-        )
+        content = self._render(attempt)
         previous_ran = progress.ran
         progress.ran = Ran.UNKNOWN if previous_ran is Ran.NO else previous_ran
         attempt.send(content, self._request.method)
@@ -167,16 +166,20 @@
         progress.attempts += 1
         self._record_prompt(attempt, now_s)
 
-    def _dispatch(self, attempt: Attempt) -> Dispatch:
-        account = self._exchange.account
-        return Dispatch(
+    def _render(self, attempt: Attempt) -> bytes:
+        dispatch = Dispatch(
             replica=attempt.choice.replica.id,
-            account=account.name if account else '',
+            account=self._exchange.account_name,
             remaining_s=self._limits.remaining_s(),
             model=attempt.choice.model,
             priority=self._priority(),
             last_event_id=self._splitter.last_id,
         )
+        try:
+            return self._dependencies.codec.render(self._request, dispatch)
+        except InvalidHeadError as error:
+            # Not a fault of this replica, and the same for any other.
+            self._fail(error.message)
 
     def _record_prompt(self, attempt: Attempt, now_s: float) -> None:
         attempt.choice.replica.record_prompt_parts(
--- a/snipebridge/relay/messages.py
+++ b/snipebridge/relay/messages.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from snipebridge.settings.models import HeaderSettings
+from snipebridge.upstreams.heads import encode_name, write_head
 
 _MS_PER_S = 1000
 _LAST_EVENT_ID = 'last-event-id'
@@ -220,16 +221,15 @@
         )
 
     def render(self, request: RelayRequest, dispatch: Dispatch) -> bytes:
-        """Return the bytes of the request to send to a replica."""
-        lines = [f'{request.method} {request.target} HTTP/1.1']
-        lines.extend(
-            f'{name}: {text}'
-            for name, text in self._forwarded_headers(request, dispatch)
-        )
+        """Return the bytes of the request to send to a replica.
+
+        Raises `InvalidHeadError` if they would not be one request.
+        """
+        fields = self._forwarded_headers(request, dispatch)
         if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
-            lines.append(f'Content-Length: {len(request.body)}')
-        head = '\r\n'.join((*lines, '', ''))
-        return head.encode('latin1', errors='replace') + request.body
+            fields.append(('Content-Length', str(len(request.body))))
+        request_line = f'{request.method} {request.target} HTTP/1.1'
+        return write_head(request_line, fields) + request.body
 
     def read_head(self, status: int, headers: Headers) -> ResponseHead:
         """Return the head of a response with its decoded headers."""
@@ -272,11 +272,11 @@
         ]
         remaining_ms = max(1, int(dispatch.remaining_s * _MS_PER_S))
         forwarded.append((names.deadline_ms, str(remaining_ms)))
-        forwarded.append((names.replica, dispatch.replica))
+        forwarded.append((names.replica, encode_name(dispatch.replica)))
         if dispatch.account:
-            forwarded.append((names.account, dispatch.account))
+            forwarded.append((names.account, encode_name(dispatch.account)))
         if dispatch.model:
-            forwarded.append((names.model, dispatch.model))
+            forwarded.append((names.model, encode_name(dispatch.model)))
         if dispatch.priority is not None:
             forwarded.append((names.priority, str(dispatch.priority)))
         if dispatch.last_event_id:
--- a/snipebridge/relay/reporting.py
+++ b/snipebridge/relay/reporting.py
@@ -16,6 +16,9 @@
     ModelPace,
 )
 
+# Names in a line of the log; there may be thousands of accounts.
+_LOGGED_FAULTS = 3
+
 TableListener = Callable[[RoutingTable], None]
 
 
@@ -139,6 +142,7 @@
             version=table.version,
             routes=len(table.routes),
             accounts=None if table.accounts is None else len(table.accounts),
+            faults=table.faults[:_LOGGED_FAULTS],
         )
 
     def _take_replicas(self, reply: HeartbeatReply) -> None:
--- a/snipebridge/routing/documents.py
+++ b/snipebridge/routing/documents.py
@@ -30,6 +30,7 @@
     Split,
     Tier,
 )
+from snipebridge.upstreams.heads import name_fault
 
 _MS_PER_S = 1000
 _NUMBER_TYPES = (int, float)
@@ -136,6 +137,16 @@
     return RoutingTable(int(version), routes, services, accounts, limits)
 
 
+def check_names(table: RoutingTable) -> None:
+    """Raise `DocumentError` for a name that replicas can't be told.
+
+    Not part of `read_table`: a configuration that is in force already must
+    stay readable, so that one such name takes nothing away from the others.
+    """
+    if table.faults:
+        raise DocumentError(table.faults[0])
+
+
 def _read_route(section: _Section, services: Mapping[str, Service]) -> Route:
     prefix = section.text('path_prefix')
     if not (prefix.startswith('/') and prefix.endswith('/')):
@@ -143,6 +154,7 @@
     timeout_s = section.seconds('timeout_ms')
     if timeout_s <= 0:
         section.reject('timeout_ms', timeout_s, 'a number above 0')
+    tiers = section.texts('tiers')
     return Route(
         name=section.text('name'),
         host=section.text('host'),
@@ -156,8 +168,9 @@
         is_keyless=section.flag('keyless'),
         is_resumable=section.flag('resumable'),
         pause_objective_s=section.seconds('pause_objective_ms', 0.0),
-        tiers=section.texts('tiers'),
+        tiers=tiers,
         allowed_regions=section.texts('allowed_regions'),
+        fault=_first_fault(f'{section.path}tiers', tiers),
     )
 
 
@@ -221,14 +234,25 @@
     priority = None
     if section.has('priority'):
         priority = int(section.number('priority'))
+    name = section.text('name')
     return RoutedAccount(
-        section.text('name'),
+        name,
         section.texts('keys'),
         priority,
         section.texts('allowed_regions'),
+        _first_fault(f'{section.path}name', (name,)),
     )
 
 
+def _first_fault(path: str, names: Iterable[str]) -> str:
+    """Return what is wrong with the first name that can't be a header."""
+    for name in names:
+        fault = name_fault(name)
+        if fault:
+            return f'{path}: found {name!r}, allowed is no {fault}'
+    return ''
+
+
 def _read_limits(section: _Section) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
--- a/snipebridge/routing/tables.py
+++ b/snipebridge/routing/tables.py
@@ -51,6 +51,8 @@
     tiers: tuple[str, ...] = ()
     # Regions that its requests may reach; empty: any.
     allowed_regions: tuple[str, ...] = ()
+    # Why a replica can't be told one of its tiers, empty if it can.
+    fault: str = ''
 
     @property
     def allows_retry(self) -> bool:
@@ -110,6 +112,8 @@
     priority: int | None = None
     # Regions that its requests may reach; empty: any.
     allowed_regions: tuple[str, ...] = ()
+    # Why a replica can't be told its name, empty if it can.
+    fault: str = ''
 
 
 @dataclass(slots=True, frozen=True)
@@ -154,6 +158,12 @@
         """Tell whether requests need the key of an account."""
         return self.accounts is not None
 
+    @property
+    def faults(self) -> list[str]:
+        """What is wrong with names that replicas can't be told."""
+        owners = (*self.routes, *(self.accounts or ()))
+        return [one.fault for one in owners if one.fault]
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching prefix."""
         for route in self._by_host.get(host, ()):
--- a/snipebridge/upstreams/client.py
+++ b/snipebridge/upstreams/client.py
@@ -23,6 +23,7 @@
     InvalidResponseError,
     ResponseTimeoutError,
 )
+from snipebridge.upstreams.heads import write_head
 
 _HEADER_LIMIT_BYTES = 65_536
 _BODY_LIMIT_BYTES = 67_108_864
@@ -347,21 +348,8 @@
     }
     if call.body or call.method in {'POST', 'PUT', 'PATCH'}:
         headers['Content-Length'] = str(len(call.body))
-    lines = [f'{call.method} {target} HTTP/1.1']
-    lines.extend(f'{name}: {text}' for name, text in headers.items())
-    head = '\r\n'.join((*lines, '', ''))
-    if _has_control_characters(head, len(lines) + 1):
-        raise ConnectError('the request head contains a control character')
-    return head.encode('latin1', errors='replace') + call.body
-
-
-def _has_control_characters(head: str, line_count: int) -> bool:
-    """Tell whether a line contains a CR, LF or NUL besides its end."""
-    return (
-        head.count('\r') != line_count
-        or head.count('\n') != line_count
-        or '\0' in head
-    )
+    request_line = f'{call.method} {target} HTTP/1.1'
+    return write_head(request_line, headers.items()) + call.body
 
 
 def _set_user_timeout(transport: asyncio.Transport, limit_s: float) -> None:
--- a/snipebridge/upstreams/errors.py
+++ b/snipebridge/upstreams/errors.py
@@ -20,6 +20,12 @@
     ran = Ran.NO
 
 
+class InvalidHeadError(ConnectError):
+    """The head of the request can't be written, so nothing was sent."""
+
+    code = 'upstream_head'
+
+
 class RefusedError(ConnectError):
     """The connection was refused: nothing listens at the address."""
 
--- a/snipebridge/upstreams/replica_list.py
+++ b/snipebridge/upstreams/replica_list.py
@@ -17,6 +17,7 @@
 from snipebridge.rpc.control_pb2 import ListedReplica
 from snipebridge.upstreams.client import UpstreamCall, UpstreamClient
 from snipebridge.upstreams.errors import InvalidResponseError, StatusError
+from snipebridge.upstreams.heads import name_fault
 from snipebridge.upstreams.lenient_json import read_members
 
 # A page takes a few milliseconds; a failed read is repeated at the next poll.
@@ -133,7 +134,7 @@
     if not _is_address(address):
         raise ValueError(f'address: found {_show(address)}')
     return ListedReplica(
-        id=_read_text(entry, 'id'),
+        id=_read_id(entry),
         service=_read_text(entry, 'service'),
         address=address,
         data_centre=_read_text(entry, 'data_centre'),
@@ -157,6 +158,14 @@
     return host.isascii() and 0 < int(port) <= _LAST_PORT
 
 
+def _read_id(entry: Mapping[str, Any]) -> str:
+    """Return the id, which the replica compares with a header."""
+    identity = _read_text(entry, 'id')
+    if name_fault(identity):
+        raise ValueError(f'id: found {_show(identity)}')
+    return identity
+
+
 def _read_text(entry: Mapping[str, Any], name: str) -> str:
     """Return a text; in headers and addresses it must be one line."""
     value = entry[name]
--- a/snipebridge/upstreams/tunnels.py
+++ b/snipebridge/upstreams/tunnels.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
+from urllib.parse import quote, unquote
 
 import httptools
 
@@ -30,6 +31,8 @@
 _HEAD_LIMIT_BYTES = 1024
 _HEAD_TIMEOUT_S = 1.0
 _PORT = 1
+# Stand for themselves in a target (RFC 3986, 3.2.2).
+_TARGET_CHARACTERS = "!$&'()*+,;="
 
 
 class TunnelTarget(Protocol):
@@ -99,7 +102,7 @@
             self.transport.abort()
 
     def on_url(self, url: bytes) -> None:
-        self._replica = url.decode('latin1').rpartition(':')[0]
+        self._replica = unquote(url.decode('latin1').rpartition(':')[0])
 
     def data_received(self, data: bytes) -> None:
         if self.other is not None:
@@ -254,7 +257,7 @@
                 int(port),
                 local_addr=(own_host, 0) if own_host else None,
             )
-            target = f'{replica}:{_PORT}'
+            target = f'{quote(replica, safe=_TARGET_CHARACTERS)}:{_PORT}'
             request = f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n\r\n'
             transport.write(request.encode())
             status = await handshake.status
--- a/tests/admin/test_routing.py
+++ b/tests/admin/test_routing.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fakes.platform_caller import DOCUMENT
+from snipebridge.rpc.commands_pb2 import Command, RoutingCommand
 from tests.running_control import run_with_control
 
 
@@ -57,6 +58,68 @@
     run_with_control(scenario)
 
 
+@pytest.mark.parametrize('name', ['', ' x', 'Gafsa\nX-A: 1', 'a\0b'])
+def test_account_that_replicas_cannot_be_told_is_refused(name):
+    """Guards against an account that is acknowledged and never served."""
+
+    async def scenario(control):
+        accounts = [{'name': 'ok', 'keys': ['k']}, {'name': name, 'keys': []}]
+        answer = await control.call(
+            '/admin/v1/routing', 'PUT', document(1, accounts=accounts)
+        )
+        assert answer.status == 400
+        assert f'accounts[1].name: found {name!r}' in answer.error['message']
+        assert (await control.call('/admin/v1/routing')).status == 404
+
+    run_with_control(scenario)
+
+
+def test_model_that_replicas_cannot_be_told_is_refused():
+    """Guards against a route that is acknowledged and never served."""
+
+    async def scenario(control):
+        put = orjson.loads(document(1))
+        put['routes'][2]['tiers'] = ['small', 'large\n']
+        answer = await control.call(
+            '/admin/v1/routing', 'PUT', orjson.dumps(put)
+        )
+        assert answer.status == 400
+        assert 'routes[2].tiers: found' in answer.error['message']
+
+    run_with_control(scenario)
+
+
+def test_names_of_other_alphabets_are_taken():
+    """Guards against a check that refuses more than it has to."""
+
+    async def scenario(control):
+        accounts = [{'name': name} for name in ('福岡', 'Télé', 'a b')]
+        answer = await control.call(
+            '/admin/v1/routing', 'PUT', document(1, accounts=accounts)
+        )
+        assert answer.status == 200
+        read = await control.call('/admin/v1/routing')
+        assert read.body['accounts'] == accounts
+
+    run_with_control(scenario)
+
+
+def test_names_in_force_are_acknowledged_again():
+    """Guards against a resent change that an earlier release has taken."""
+
+    async def scenario(control):
+        accepted = document(4, accounts=[{'name': 'x\n', 'keys': ['k']}])
+        command = RoutingCommand(version=4, document=accepted)
+        await control.replica.submit([Command(routing=command)])
+        answer = await control.call('/admin/v1/routing', 'PUT', accepted)
+        assert (answer.status, answer.body['version']) == (200, 4)
+        changed = document(5, accounts=[{'name': 'x\n', 'keys': ['k']}])
+        answer = await control.call('/admin/v1/routing', 'PUT', changed)
+        assert answer.status == 400
+
+    run_with_control(scenario)
+
+
 def test_rollout_is_ordered_and_read():
     """A resent order is acknowledged and starts nothing anew."""
 
--- a/tests/integration/test_mixed_builds.py
+++ b/tests/integration/test_mixed_builds.py
@@ -11,6 +11,7 @@
 import sys
 import tarfile
 import tomllib
+from collections import Counter
 
 import pytest
 
@@ -159,6 +160,39 @@
     play(tmp_path, ROOT, scenario)
 
 
+def test_accounts_have_the_same_name_at_entries_of_both_builds(
+    tmp_path, build_before
+):
+    """Guards against an account that changes its name in an upgrade."""
+    names = ('Télé', 'Straße', 'Ærø')
+
+    async def scenario(system, callers):
+        await replace(system, callers, ENTRIES[0], ROOT)
+        system.document['version'] = 2
+        system.document['accounts'].extend(
+            {'name': name, 'keys': [f'key-{number}']}
+            for number, name in enumerate(names)
+        )
+        await system.put(system.document)
+        await asyncio.sleep(1.5)
+        for one in system.replicas:
+            one.runs.clear()
+        for number, _ in enumerate(names):
+            key = {'X-Key': f'key-{number}'}
+            for host in ENTRIES:
+                answer = await system.ask('/look/x', host, headers=key)
+                assert answer.status == 200
+        told = Counter(
+            run.headers['x-tenant']
+            for one in system.replicas
+            for run in one.runs
+            if run.headers['x-tenant'] != 'studio'
+        )
+        assert told == {name: len(ENTRIES) for name in names}
+
+    play(tmp_path, build_before, scenario)
+
+
 def test_snapshots_are_read_by_the_other_build(build_before):
     """Each build leaves out what it does not know, and keeps the rest."""
     machine = make_control_state_machine(ControlSettings())
--- a/tests/upstreams/test_replica_list.py
+++ b/tests/upstreams/test_replica_list.py
@@ -156,3 +156,10 @@
     platform.raw_page = page
     with pytest.raises(UpstreamError):
         read(platform)
+
+
+@pytest.mark.parametrize('identity', [' r1', 'r1 '])
+def test_id_that_no_header_can_have_is_skipped(identity):
+    """Guards against a replica that refuses each request as not meant."""
+    with pytest.raises(ValueError, match='id'):
+        parse_replica({**VALID_ENTRY, 'id': identity})
--- a/tests/upstreams/test_tunnels.py
+++ b/tests/upstreams/test_tunnels.py
@@ -89,6 +89,20 @@
     run(scenario, b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc')
 
 
+@pytest.mark.parametrize('replica', ['r1', '実', 'a:b', 'a b', 'é%41', 'a/b'])
+def test_tunnel_leads_to_a_replica_with_any_id(replica):
+    """Guards against ids that the helper reads as others."""
+
+    async def scenario(target, helper):
+        target.addresses[replica] = target.addresses.pop('r1')
+        connection = await connect(helper, replica)
+        connection.send(REQUEST, 'GET')
+        assert await connection.wait_head(1.0) == 200
+        connection.abort()
+
+    run(scenario, b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+
 def test_end_of_a_tunnel_does_not_complete_an_unframed_answer():
     """The helper may have been ended in the middle of it."""
 
