Take the end of a connection for that of a body only after the upload

Cause: eof_received of both clients completed a body without a length at any end of the connection. The reset that follows came too late. A reset or a close at once was noticed, so only an orderly end is at fault.

Change: is_upload_complete asks the transport, the kernel (unacknowledged bytes) and a pending reset, the latter for a loop that was busy while the end and the reset came. For routed requests, streams and the chat form; ends of tunnels never completed a body.

--- a/snipebridge/upstreams/client.py
+++ b/snipebridge/upstreams/client.py
@@ -24,6 +24,7 @@
     ResponseTimeoutError,
 )
 from snipebridge.upstreams.heads import write_head
+from snipebridge.upstreams.sockets import is_upload_complete
 
 _HEADER_LIMIT_BYTES = 65_536
 _BODY_LIMIT_BYTES = 67_108_864
@@ -128,7 +129,8 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
-        if self._has_head and not self._is_framed():
+        is_delimited = self._has_head and not self._is_framed()
+        if is_delimited and is_upload_complete(self._transport):
             self._complete(None)
         else:
             self._complete(InvalidResponseError('the response was truncated'))
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -20,6 +20,7 @@
     RefusedError,
     ResponseTimeoutError,
 )
+from snipebridge.upstreams.sockets import is_upload_complete
 
 # A handshake takes a few milliseconds. A lost handshake packet is retransmitted
 # after one second; another replica would have responded by then.
@@ -109,7 +110,14 @@
         """Complete a response that is delimited by the end of the connection."""
         self._is_unusable = True
         if self._is_delimited_by_end() and self._error is None:
-            self._is_complete = True
+            if is_upload_complete(self._transport):
+                self._is_complete = True
+            else:
+                self._fail(
+                    InvalidResponseError(
+                        'the connection ended before the request was sent'
+                    )
+                )
         self._notify()
         return False
 
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -133,3 +133,26 @@
         return sink
 
     assert b''.join(asyncio.run(stream()).chunks) == b'abcd'
+
+
+@pytest.mark.parametrize('size_bytes', [1_000_000, 4_000_000])
+def test_end_during_the_upload_does_not_complete_a_response(size_bytes):
+    """Guards against a part of a body that is taken for all of it."""
+
+    async def end_early(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        writer.write_eof()
+        await asyncio.sleep(0.1)
+        writer.close()
+
+    async def fetch():
+        server = await asyncio.start_server(end_early, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        call = _call(f'http://127.0.0.1:{port}')
+        call.body = b'x' * size_bytes
+        async with server:
+            await make_upstream_client().fetch(call)
+
+    with pytest.raises(InvalidResponseError):
+        asyncio.run(fetch())
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 import struct
+import threading
+import time
 
 import pytest
 
@@ -207,3 +209,37 @@
 
     script = Script()
     run(script, scenario)
+
+
+def reset_after_end(listener):
+    """Send an answer without a length, end it in order, then reset."""
+    accepted, _ = listener.accept()
+    accepted.recv(65_536)
+    accepted.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+    accepted.shutdown(socket.SHUT_WR)
+    time.sleep(0.1)
+    accepted.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    accepted.close()
+
+
+def test_reset_that_is_read_together_with_the_end_is_not_complete():
+    """Guards against a reset that goes unnoticed in a pause of the loop."""
+
+    async def session():
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            replica = threading.Thread(target=reset_after_end, args=[listener])
+            replica.start()
+            port = listener.getsockname()[1]
+            connection = await ConnectionPool().connect(f'127.0.0.1:{port}')
+            connection.send(REQUEST, 'GET')
+            # The loop stands still until both have arrived.
+            replica.join()
+        with pytest.raises(InvalidResponseError):
+            await connection.wait_head(1.0)
+            while await connection.read(1.0):
+                assert not connection.is_complete
+        connection.abort()
+
+    asyncio.run(asyncio.wait_for(session(), 10))
