Fail answers whose status is none, and interim ones with a body

Cause: anything under 200 counted as an interim response and anything else as the answer, and on_body kept a body that came before the final head. The parser takes any three digits.

Change: is_interim raises for a number outside 100 to 599 and for 101, a body before the final head raises too, in both clients. The attempt is invalid: another replica where that is allowed, else 502 at once.

--- a/snipebridge/upstreams/client.py
+++ b/snipebridge/upstreams/client.py
@@ -25,13 +25,13 @@
 )
 from snipebridge.upstreams.heads import write_head
 from snipebridge.upstreams.sockets import is_upload_complete
+from snipebridge.upstreams.statuses import is_interim, parser_error
 
 _HEADER_LIMIT_BYTES = 65_536
 _BODY_LIMIT_BYTES = 67_108_864
 # Limit of what comes between two bytes of a body: the status line, interim
 # responses, chunk extensions, trailers.
 _OVERHEAD_LIMIT_BYTES = 2 * _HEADER_LIMIT_BYTES
-_FIRST_FINAL_STATUS = 200
 _MS_PER_S = 1000
 _DEFAULT_PORTS = {'http': 80, 'https': 443}
 
@@ -156,7 +156,7 @@
     def on_headers_complete(self) -> None:
         """Pass the head on; from here on the idle time-out applies."""
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
+        if is_interim(status):
             self._headers = HTTPHeaders()
             return
         self._has_head = True
@@ -167,6 +167,8 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Buffer a chunk until the current read is parsed."""
+        if not self._has_head:
+            raise InvalidResponseError('an interim response has a body')
         self._body_bytes += len(chunk)
         self._overhead_bytes = 0
         if self._body_bytes > _BODY_LIMIT_BYTES:
@@ -197,9 +199,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             # The parser wraps errors raised by its callbacks and the sink.
-            raise error.__context__ or InvalidResponseError(
-                f'the response is not valid HTTP: {error}'
-            ) from error
+            raise parser_error(error) from error
         if not self.completed.done():
             self._deliver()
 
--- a/snipebridge/upstreams/connections.py
+++ b/snipebridge/upstreams/connections.py
@@ -21,6 +21,7 @@
     ResponseTimeoutError,
 )
 from snipebridge.upstreams.sockets import is_upload_complete
+from snipebridge.upstreams.statuses import is_interim, parser_error
 
 # A handshake takes a few milliseconds. A lost handshake packet is retransmitted
 # after one second; another replica would have responded by then.
@@ -46,7 +47,6 @@
 _OVERHEAD_LIMIT_BYTES = 65_536
 # Body bytes that wait for a slow reader; more are left in the network.
 _BUFFER_LIMIT_BYTES = 262_144
-_FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = frozenset((204, 304))
 
 Headers = list[tuple[str, str]]
@@ -99,9 +99,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(
-                InvalidResponseError(f'the response is not valid HTTP: {error}')
-            )
+            self._fail(parser_error(error))
             self.abort()
         self._limit_bytes()
         self._notify()
@@ -147,7 +145,7 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
+        if is_interim(status):
             self._headers = []
             return
         self.status = status
@@ -163,6 +161,8 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Buffer a chunk of the body until it is read."""
+        if not self._has_head:
+            raise InvalidResponseError('an interim response has a body')
         if not self._is_complete:
             self._chunks.append(chunk)
             self._buffered_bytes += len(chunk)
