Keep data folders readable after failed writes and losses of power

Cause: a start took what it read of the newest segment as durable and began the next one. After a sync that failed, or a kill between a write and its sync, that is the page cache only; a loss of power then tears a segment in the middle. Besides, one sync followed the removal of several segments, and after a loss of power any one of them may be back. And a buffered file wrote the rest of a failed batch again when it was closed, and Storage.close raised a bare OSError, so that the stop went no further.

Change: a start puts the newest segment in place again, synced; each removal has a sync of its own; writes have no buffer; close releases the folder and its failure is logged. A segment without a record, as a start without room leaves it, is written again.

--- a/snipebridge/consensus/errors.py
+++ b/snipebridge/consensus/errors.py
@@ -37,6 +37,16 @@
     code = 'storage'
 
 
+class DiskError(StorageError):
+    """The disk refused a call, for want of room or by a fault.
+
+    What the call was to make durable may be so or not. The folder can be
+    opened again once the disk takes writes.
+    """
+
+    code = 'disk'
+
+
 class CorruptLogError(StorageError):
     """A record in the middle of the log fails its checksum."""
 
--- a/snipebridge/consensus/files.py
+++ b/snipebridge/consensus/files.py
@@ -18,22 +18,37 @@
         os.close(handle)
 
 
+def append_synced(handle: int, content: bytes) -> None:
+    """Write all of the content at the end of an open file, and sync it.
+
+    After an error any part of it may be in the file. There is no buffer that
+    would be written again when the file is closed.
+    """
+    left = memoryview(content)
+    while left:
+        left = left[os.write(handle, left) :]
+    os.fsync(handle)
+
+
 def write_synced(path: Path, content: bytes) -> None:
     """Write a file and sync its content."""
-    with path.open('wb') as output:
-        output.write(content)
-        output.flush()
-        os.fsync(output.fileno())
+    with path.open('wb', buffering=0) as output:
+        append_synced(output.fileno(), content)
 
 
-def replace_framed(path: Path, payload: bytes) -> None:
-    """Put a file of one frame in place at once or not at all."""
+def replace_synced(path: Path, content: bytes) -> None:
+    """Put a file in place at once or not at all."""
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    write_synced(temporary, make_frame(payload))
+    write_synced(temporary, content)
     temporary.replace(path)
     sync_folder(path.parent)
 
 
+def replace_framed(path: Path, payload: bytes) -> None:
+    """Put a file of one frame in place at once or not at all."""
+    replace_synced(path, make_frame(payload))
+
+
 def read_framed(path: Path) -> bytes:
     """Read a file of one frame back.
 
--- a/snipebridge/consensus/replica.py
+++ b/snipebridge/consensus/replica.py
@@ -27,11 +27,13 @@
     MembershipChangeError,
     OutcomeUnknownError,
     ReplicaFailedError,
+    StorageError,
 )
 from snipebridge.consensus.interfaces import StateMachine
 from snipebridge.consensus.messages import Timing
 from snipebridge.consensus.storage import Storage
 from snipebridge.consensus.transport import Transport, make_channel_opener
+from snipebridge.logs import log_event
 from snipebridge.rpc.commands_pb2 import Command, CommandResult
 from snipebridge.rpc.consensus_pb2 import (
     Delivered,
@@ -130,7 +132,11 @@
             await self._driver.stop()
             await self._transport.close()
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._disk_thread, self._storage.close)
+        try:
+            await loop.run_in_executor(self._disk_thread, self._storage.close)
+        except StorageError as error:
+            # Nothing is lost by it: what counts was synced before.
+            log_event('storage_not_closed', error=error.message)
         self._disk_thread.shutdown()
 
     async def hand_over(self) -> None:
--- a/snipebridge/consensus/segments.py
+++ b/snipebridge/consensus/segments.py
@@ -6,11 +6,15 @@
 between any two writes leaves a log that reads back as one of the two states.
 """
 
-import os
 from pathlib import Path
 
 from snipebridge.consensus.errors import CorruptLogError
-from snipebridge.consensus.files import sync_folder, write_synced
+from snipebridge.consensus.files import (
+    append_synced,
+    replace_synced,
+    sync_folder,
+    write_synced,
+)
 from snipebridge.consensus.frames import (
     frame_size_bytes,
     make_frame,
@@ -42,7 +46,11 @@
         return bool(self._numbers())
 
     def recover(self) -> Log:
-        """Read all segments; cut a torn tail off the newest."""
+        """Read all segments, and make sure that the newest one is durable.
+
+        The process before may have ended between a write and its sync, or by
+        a sync that failed, so what is read may be gone after a loss of power.
+        """
         log = Log()
         numbers = self._numbers()
         for position, number in enumerate(numbers):
@@ -51,6 +59,10 @@
             self._read(number, log, is_newest=number == numbers[-1])
             self._last_indexes[number] = log.last_index
             self._number = number
+        if numbers and not self._path(self._number).stat().st_size:
+            # Left by a start that found no room; `begin` writes it again.
+            self._last_indexes.pop(self._number)
+            self._number -= 1
         return log
 
     def begin(self, index: int, term: int) -> None:
@@ -62,15 +74,13 @@
         path = self._path(self._number)
         write_synced(path, header)
         sync_folder(self._folder)
-        self._output = path.open('ab')
+        self._output = path.open('ab', buffering=0)
         self._size = len(header)
 
     def append(self, batch: LogBatch) -> None:
         """Write a batch and sync it."""
         frame = _encode(batch)
-        self._output.write(frame)
-        self._output.flush()
-        os.fsync(self._output.fileno())
+        append_synced(self._output.fileno(), frame)
         self._size += len(frame)
         self._last_indexes[self._number] = max(
             batch.last_index, self._last_indexes[self._number]
@@ -85,13 +95,14 @@
                 break
             self._path(number).unlink(missing_ok=True)
             self._last_indexes.pop(number)
-        sync_folder(self._folder)
+            # Of names removed together, any one may come back.
+            sync_folder(self._folder)
 
     def close(self) -> None:
-        """Close the newest segment."""
-        if self._output is not None:
-            self._output.close()
-            self._output = None
+        """Close the newest segment; raises `OSError`."""
+        output, self._output = self._output, None
+        if output is not None:
+            output.close()
 
     def _numbers(self) -> list[int]:
         paths = self._folder.glob(_PATTERN)
@@ -107,13 +118,10 @@
         for payload in read_frames(content, str(path)):
             _replay(AppendRequest.FromString(payload), log)
             good_bytes += frame_size_bytes(payload)
-        if good_bytes == len(content):
-            return
-        if not is_newest:
+        if is_newest:
+            replace_synced(path, content[:good_bytes])
+        elif good_bytes != len(content):
             raise CorruptLogError(f'{path}: ends in a bad record')
-        os.truncate(path, good_bytes)
-        with path.open('rb') as torn:
-            os.fsync(torn.fileno())
 
 
 def _encode(batch: LogBatch) -> bytes:
--- a/snipebridge/consensus/storage.py
+++ b/snipebridge/consensus/storage.py
@@ -8,12 +8,14 @@
 >>> recovered = storage.open()  # doctest: +SKIP
 """
 
+import errno
 import fcntl
 import secrets
 from pathlib import Path
 
 from snipebridge.consensus.errors import (
     CorruptLogError,
+    DiskError,
     FolderInUseError,
     StorageError,
 )
@@ -32,6 +34,9 @@
 )
 
 IDENTITY_BYTES = 16
+# A full or faulty disk. Other errors, such as a folder that may not be
+# written, need an operator.
+_DISK_ERRORS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EIO))
 
 
 class Storage:
@@ -53,28 +58,32 @@
         try:
             return self._open()
         except OSError as error:
-            raise StorageError(f'{self._folder}: {error}') from error
+            raise _wrap(error, self._folder) from error
 
     def persist(self, ready: Ready) -> None:
         """Sync the hard state, the snapshot to install and the entries."""
         try:
             self._persist(ready)
         except OSError as error:
-            raise StorageError(f'{self._folder}: {error}') from error
+            raise _wrap(error, self._folder) from error
 
     def save_snapshot(self, snapshot: Snapshot, log_start_index: int) -> None:
         """Write a snapshot, then drop the log up to an index."""
         try:
             self._save(snapshot, log_start_index)
         except OSError as error:
-            raise StorageError(f'{self._folder}: {error}') from error
+            raise _wrap(error, self._folder) from error
 
     def close(self) -> None:
-        """Release the folder."""
-        self._segments.close()
-        if self._lock is not None:
-            self._lock.close()
-            self._lock = None
+        """Release the folder, also where its files can't be closed."""
+        try:
+            self._segments.close()
+        except OSError as error:
+            raise _wrap(error, self._folder) from error
+        finally:
+            if self._lock is not None:
+                self._lock.close()
+                self._lock = None
 
     def _open(self) -> Recovered:
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -176,6 +185,11 @@
         return self._folder / name
 
 
+def _wrap(error: OSError, folder: Path) -> StorageError:
+    kind = DiskError if error.errno in _DISK_ERRORS else StorageError
+    return kind(f'{folder}: {error}')
+
+
 def _check_continuity(log: Log, snapshot: Snapshot | None, folder) -> None:
     """Check that snapshot and log meet; drop a log the snapshot replaced."""
     index = snapshot.last_index if snapshot else 0
@@ -186,3 +200,12 @@
         )
     if log.term_at(index) != term:
         log.reset(index, term)
+
+
+def probe(folder: Path) -> None:
+    """Open and close a folder; raises `StorageError` where that fails."""
+    storage = Storage(folder)
+    try:
+        storage.open()
+    finally:
+        storage.close()
