Wait for a full disk in place of ending at each try

Cause: a DiskError stops the replica, rightly, but serve ended with it, and so did a start in a full folder.

Change: control/serving.py stops the process's parts as at a planned stop (lead and vote are handed over), waits until the folder can be opened, and starts them again from it. Only ENOSPC, EDQUOT and EIO are waited for; a corrupt folder or one that may not be written ends the process.

--- a/snipebridge/cli/commands.py
+++ b/snipebridge/cli/commands.py
@@ -2,7 +2,7 @@
 
 A command gets its parsed flags, its arguments and the environment, and
 returns an exit code. Long-running commands live in `snipebridge.entry` and
-`snipebridge.control.process`.
+`snipebridge.control.serving`.
 """
 
 import asyncio
@@ -47,7 +47,7 @@
     """Run the control process until TERM, then drain."""
     watch = SettingsWatch(flag_values.settings)
     settings = _load_process_settings(flag_values)
-    from snipebridge.control.process import serve  # noqa: PLC0415 - other commands start faster without it
+    from snipebridge.control.serving import serve  # noqa: PLC0415 - other commands start faster without it
 
     return _run_process(serve, settings, watch)
 
--- a/snipebridge/control/process.py
+++ b/snipebridge/control/process.py
@@ -1,7 +1,7 @@
 """Wires the control process.
 
->>> stop = asyncio.Event()  # doctest: +SKIP
->>> await serve(settings, stop)  # doctest: +SKIP
+>>> process = make_control(settings, machine, replica)  # doctest: +SKIP
+>>> await process.start()  # doctest: +SKIP
 """
 
 import asyncio
@@ -13,20 +13,14 @@
 from snipebridge.admin.api import AdminApi
 from snipebridge.admin.forwarding import GrpcForwarder, add_operators_to_server
 from snipebridge.clock import Clock, SystemClock
-from snipebridge.consensus.errors import StorageError
+from snipebridge.consensus.errors import DiskError, StorageError
 from snipebridge.consensus.interfaces import Replica
-from snipebridge.consensus.replica import make_replica
 from snipebridge.control.duties import LeaderDuties
 from snipebridge.control.leader import Leadership, Planners
 from snipebridge.control.metrics import ControlMetrics
 from snipebridge.control.orders import Orders, make_orders
-from snipebridge.control.rollouts import PlannedRollouts
 from snipebridge.control.service import ControlService
-from snipebridge.controllers.share_planner import make_share_planner
-from snipebridge.controllers.state_machine import (
-    ControlStateMachine,
-    make_control_state_machine,
-)
+from snipebridge.controllers.state_machine import ControlStateMachine
 from snipebridge.errors import SnipebridgeError
 from snipebridge.fleet.duties import make_routed_duties
 from snipebridge.fleet.joining import Joining
@@ -39,11 +33,10 @@
     make_server,
 )
 from snipebridge.settings.models import Settings
-from snipebridge.settings.seeds import resolve_control_seeds, seed_addresses
-from snipebridge.settings.watching import SettingsWatch
+from snipebridge.settings.seeds import seed_addresses
 from snipebridge.supervision import Duty, Supervisor
 from snipebridge.tls import make_tls_files
-from snipebridge.upstreams.engine import Engine, make_engine
+from snipebridge.upstreams.engine import Engine
 
 _DRAIN_POLL_S = 0.02
 _DRAIN_LIMIT_S = 10.0
@@ -168,9 +161,13 @@
         await self.leadership.replica.hand_over()
         if self._settings.seeds.addresses:
             await self._joining.leave(self.leadership.replica, self.rpc_address)
+        await self._release()
+
+    async def _release(self) -> None:
         await self.leadership.replica.stop()
         await self._forwarder.close()
         await self._server.stop(_SERVER_GRACE_S)
+        self._http.stop()
         await self._http.close_all_connections()
 
     async def _finish_requests(self) -> None:
@@ -180,11 +177,12 @@
     async def _start_replica(self) -> None:
         try:
             await self.leadership.replica.start()
+        except DiskError:
+            await self._release()
+            raise
         except (OSError, StorageError) as error:
             await self._server.stop(None)
-            raise ControlError(
-                f'the data folder can not be used: {error}'
-            ) from error
+            raise folder_error(error) from error
 
     async def _join(self) -> None:
         await self._joining.run(self.leadership.replica, self.rpc_address)
@@ -244,36 +242,6 @@
     return ControlProcess(settings, leadership, orders)
 
 
-async def serve(
-    settings: Settings,
-    stop: asyncio.Event,
-    watch: SettingsWatch | None = None,
-) -> None:
-    """Run a control process until `stop` is set, then drain.
-
-    Raises `ControlError` when the replica can't go on; started again, the
-    process recovers from its data folder.
-    """
-    resolve_control_seeds(settings)
-    failures: list[BaseException] = []
-
-    def fail(error: BaseException) -> None:
-        failures.append(error)
-        stop.set()
-
-    machine = make_control_state_machine(settings.control)
-    replica = make_replica(settings, machine, on_failure=fail)
-    clock = SystemClock()
-    planners = Planners(
-        rollouts=PlannedRollouts(), shares=make_share_planner(clock)
-    )
-    engine = make_engine()
-    process = make_control(settings, machine, replica, clock, planners, engine)
-    await process.start()
-    watching = asyncio.create_task(
-        watch.run(process.take_settings) if watch else stop.wait()
-    )
-    await process.run(stop)
-    watching.cancel()
-    if failures:
-        raise ControlError(f'the replica failed: {failures[0]}')
+def folder_error(error: Exception) -> ControlError:
+    """Return the error of a data folder that needs an operator."""
+    return ControlError(f'the data folder can not be used: {error}')
--- a/tests/consensus/faulty_disk.py
+++ b/tests/consensus/faulty_disk.py
@@ -42,6 +42,12 @@
         for name in self._real:
             monkeypatch.setattr(files.os, name, getattr(self, f'_{name}'))
 
+    def close(self) -> None:
+        """Let go of the files."""
+        for handle in self._held.values():
+            os.close(handle)
+        self._held.clear()
+
     def lose_power(self) -> None:
         """Leave what is durable, and by chance some of the rest."""
         now = self._listing()
@@ -52,9 +58,7 @@
                 kept[name] = self._content_after_loss(inode)
         for path in self.folder.iterdir():
             self._real['unlink'](path)
-        for handle in self._held.values():
-            os.close(handle)
-        self._held.clear()
+        self.close()
         self._durable.clear()
         for name, content in kept.items():
             (self.folder / name).write_bytes(content)
--- a/tests/consensus/test_faulty_disk.py
+++ b/tests/consensus/test_faulty_disk.py
@@ -109,11 +109,12 @@
 
 @pytest.mark.parametrize('seed', range(SEEDS))
 def test_what_a_member_vouched_for_outlives_its_disk_faults(
-    tmp_path, monkeypatch, seed
+    tmp_path, monkeypatch, request, seed
 ):
     """Guards against a folder that opens with less, or never again."""
     rng = random.Random(seed)
     disk = FaultyDisk(tmp_path / 'folder', rng)
+    request.addfinalizer(disk.close)
     disk.install(monkeypatch)
     monkeypatch.setattr(segments, 'SEGMENT_BYTES', 500)
     member = Member(disk, rng)
@@ -133,3 +134,4 @@
         if rng.random() < 0.5:
             disk.lose_power()
             member.reopen()
+    member.storage.close()
