Refuse unknown models here, and avoid misdirected replicas for a while

Cause: each 421 was taken for the answer of a successor at the address and set is_replaced, which nothing took back. A replica answers 421 as well to a request that it can't take itself. Evidence: decision:attempt has one refusal with 421 for each replica, then "no eligible replica remains" while the list names all of them. Ruled out: back-offs and circuit breakers, which end by time.

Change: a named model that the route's tiers lack gets 421 here. A replica that took a request within the last second is still itself; else it is avoided for 2 s or until it answers, and only while there are others.

--- a/snipebridge/relay/errors.py
+++ b/snipebridge/relay/errors.py
@@ -37,6 +37,14 @@
     ran = Ran.NO
 
 
+class UnknownModelError(RelayError):
+    """The route has models to choose from, and not the one that was named."""
+
+    code = 'unknown_model'
+    status = HTTPStatus.MISDIRECTED_REQUEST
+    ran = Ran.NO
+
+
 class UnknownKeyError(RelayError):
     """The key belongs to no account."""
 
--- a/snipebridge/relay/model_selection.py
+++ b/snipebridge/relay/model_selection.py
@@ -10,7 +10,9 @@
 from snipebridge.relay.attempt_limits import AttemptLimits
 from snipebridge.relay.attempts import Attempt
 from snipebridge.relay.dependencies import ForwardDependencies
+from snipebridge.relay.errors import UnknownModelError
 from snipebridge.relay.exchange import RelayExchange
+from snipebridge.upstreams.heads import encode_name
 
 _MS_PER_S = 1000
 _MAX_LOGGED_S = 99.0
@@ -36,8 +38,17 @@
         self._tiers = exchange.route.tiers
 
     def first_model(self) -> str:
-        """Return the first model to run, empty if the caller named one."""
-        if self._exchange.request.model not in _ANY_MODEL:
+        """Return the first model to run, empty if the caller named one.
+
+        Raises `UnknownModelError` for one that the route does not have: no
+        replica would take it.
+        """
+        named = self._exchange.request.model
+        if named not in _ANY_MODEL:
+            if self._tiers and named not in map(encode_name, self._tiers):
+                raise UnknownModelError(
+                    f'found model {named!r}, allowed are {list(self._tiers)}'
+                )
             return ''
         return self._dependencies.tiers.first_tier(
             self._tiers, self._limits.runs_allowed()
--- a/snipebridge/relay/outcomes.py
+++ b/snipebridge/relay/outcomes.py
@@ -55,7 +55,8 @@
         self._limits.refused_count += 1
         self.excluded.add(replica.id)
         self.last_error = f'{replica.id} refused with {attempt.head.status}'
-        replica.is_replaced = replica.is_replaced or attempt.head.is_misdirected
+        if attempt.head.is_misdirected:
+            replica.record_misdirected(self._dependencies.clock.monotonic_s())
         self._log(attempt, 'refused')
 
     def record_paused(self, attempt: Attempt) -> None:
@@ -139,7 +140,9 @@
 
     def record_head(self, attempt: Attempt) -> None:
         """Note that a replica has begun to answer."""
-        self._dependencies.paths.record_answer(attempt.choice.replica.id)
+        replica = attempt.choice.replica
+        replica.record_identified(self._dependencies.clock.monotonic_s())
+        self._dependencies.paths.record_answer(replica.id)
         self._dependencies.crashes.record_began(attempt, self._exchange)
 
     def record_dropped(self, attempt: Attempt) -> None:
--- a/snipebridge/relay/replica_placement.py
+++ b/snipebridge/relay/replica_placement.py
@@ -91,7 +91,10 @@
         self._note_cold(exchange, service, eligible, now_s)
         candidates = self._limits.usable(eligible, now_s)
         candidates = self._brittle.usable(
-            service, candidates, self._replicas.available_for(service), now_s
+            service,
+            candidates,
+            self._replicas.available_for(service, now_s),
+            now_s,
         )
         shape = prompt_shape(exchange, model)
         speed = self._prefill_speeds.speed(model)
@@ -151,7 +154,7 @@
     def paused_s(self, service: str) -> float:
         """Return how long all replicas of a service want no requests."""
         now_s = self._clock.monotonic_s()
-        replicas = self._replicas.available_for(service)
+        replicas = self._replicas.available_for(service, now_s)
         return self._back_offs.left_s(
             self._back_offs.staying(replicas, now_s), now_s
         )
@@ -165,7 +168,7 @@
                 replica.estimated_running(now_s),
                 replica.slots,
             )
-            for replica in self._replicas.available_for(service)
+            for replica in self._replicas.available_for(service, now_s)
         ]
 
     def _weights(self, candidates: Sequence[Replica]) -> PlacementWeights:
@@ -240,7 +243,7 @@
             [
                 replica
                 for replica in self._back_offs.staying(
-                    self._replicas.available_for(service), now_s
+                    self._replicas.available_for(service, now_s), now_s
                 )
                 if self._regions.allows(replica.data_centre, allowed)
             ],
--- a/snipebridge/relay/replicas.py
+++ b/snipebridge/relay/replicas.py
@@ -16,6 +16,11 @@
 
 # Validity of the load that a replica reports with a response.
 LOAD_VALID_S = 1.0
+# An address is given to another replica some seconds after its end.
+IDENTIFIED_VALID_S = 1.0
+# About as long as the list may take to show a successor. Trying a replica once
+# more costs a round trip, since a request for another one does not run.
+MISDIRECTED_PAUSE_S = 2.0
 # Parts beyond the most recent ones have probably been evicted at the replica.
 _MAX_CACHED_PARTS = 600
 
@@ -34,8 +39,10 @@
     warm_up_ends_s: float = 0.0
     # When it last refused connections, at this or another entry.
     lost_s: float = float('-inf')
-    # Another replica responded at its address.
-    is_replaced: bool = False
+    # When it last answered under its id, and until when it is avoided because
+    # the request was said to be meant for another one.
+    identified_s: float = float('-inf')
+    avoided_until_s: float = float('-inf')
     circuit_breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     running: int = 0
     # Prefill time of prompts of this entry that await their first token.
@@ -87,6 +94,27 @@
         self.slots = load.slots or self.slots
         self.stated_pace_percent = load.pace_percent
 
+    def record_identified(self, now_s: float) -> None:
+        """Note that it took a request that named it."""
+        self.identified_s = now_s
+        self.avoided_until_s = float('-inf')
+
+    def record_misdirected(self, now_s: float) -> None:
+        """Avoid it for a while, unless it was there just now.
+
+        The same answer comes from its successor at the address and, for a
+        request that it can't take, from itself.
+        """
+        if now_s - self.identified_s < IDENTIFIED_VALID_S:
+            return
+        self.avoided_until_s = now_s + MISDIRECTED_PAUSE_S
+        log_decision(
+            'replica_avoided',
+            replica=self.id,
+            address=self.address,
+            pause_s=MISDIRECTED_PAUSE_S,
+        )
+
     def record_prompt_parts(
         self, model: str, parts: Iterable[str], now_s: float
     ) -> None:
@@ -207,17 +235,20 @@
             if replica.running
         ]
 
-    def available_for(self, service: str) -> list[Replica]:
-        """Return the replicas of a service that accept new requests."""
-        return [
+    def available_for(self, service: str, now_s: float) -> list[Replica]:
+        """Return the replicas of a service that accept new requests.
+
+        Those that are avoided are left out while there are others.
+        """
+        available = [
             replica
             for replica in self._by_service.get(service, ())
             if not (
-                replica.is_draining
-                or replica.is_replaced
-                or replica.data_centre in self._evacuated
+                replica.is_draining or replica.data_centre in self._evacuated
             )
         ]
+        trusted = [one for one in available if one.avoided_until_s <= now_s]
+        return trusted or available
 
 
 def _merge(
--- a/tests/policy/test_pool_congestion.py
+++ b/tests/policy/test_pool_congestion.py
@@ -63,7 +63,9 @@
     """Return the price that an entry computes."""
     members = [
         PoolMember(replica.total_backlog_ms, replica.running, replica.slots)
-        for replica in entry_registry(entries, backlog_ms).available_for('s')
+        for replica in entry_registry(entries, backlog_ms).available_for(
+            's', 0.0
+        )
     ]
     return pool_price(members, PAUSE_S)
 
--- a/tests/relay/test_replicas.py
+++ b/tests/relay/test_replicas.py
@@ -24,7 +24,7 @@
 
 def available_ids(registry):
     """Return the ids of replicas that accept new requests."""
-    return [replica.id for replica in registry.available_for('s')]
+    return [replica.id for replica in registry.available_for('s', 0.0)]
 
 
 def test_older_list_does_not_replace_a_newer_one():
