Pass on and believe only answers that name their request

With X-Not-Executed the entry sent the booking to a second replica as well.

Cause: check_head asked only successes for the id. Replicas echo it in their responses; what lacks it may be left over from an earlier request. Ruled out: bytes between two requests, which close the connection.

Change: an answer without an id fails the attempt as invalid, and a refusal without one counts only as the first answer of a connection.

--- a/snipebridge/relay/attempts.py
+++ b/snipebridge/relay/attempts.py
@@ -123,7 +123,7 @@
         head = self._codec.read_head(status, self._connection.headers)
         self._record_load(head)
         try:
-            check_head(head, attempt_id)
+            check_head(head, attempt_id, is_reused=self._connection.is_reused)
         except InvalidResponseError:
             # What belongs to this request may still come.
             self._connection.abort()
@@ -189,10 +189,18 @@
     return status // _STATUS_CLASS == _SERVER_FAILURE
 
 
-def check_head(head: ResponseHead, attempt_id: str) -> None:
-    """Raise `InvalidResponseError` if a response must not be passed on."""
+def check_head(head: ResponseHead, attempt_id: str, *, is_reused: bool) -> None:
+    """Raise `InvalidResponseError` if a response must not be passed on.
+
+    One without an id may be left over from an earlier request of the
+    connection, so it neither answers this one nor says that it did not run.
+    Only a refusal that is the first response of a connection needs no id.
+    """
     if head.attempt_id and head.attempt_id != attempt_id:
         raise InvalidResponseError('the response belongs to another request')
+    is_named = head.attempt_id or not attempt_id
+    if not is_named and (is_reused or not head.did_not_run):
+        raise InvalidResponseError('the response names no request')
     if head.did_not_run:
         return
     if is_success(head.status):
