Keep versions that were rolled back out of later roll-outs

Cause: the replicated state has one roll-out a service, so an order forgets the version that was rolled back, and entries take each replica that is not of the new target for one of the version in use. Ruled out: sessions that the bad version had, and late heartbeats.

--- a/snipebridge/controllers/software_rollouts.py
+++ b/snipebridge/controllers/software_rollouts.py
@@ -28,6 +28,8 @@
 # A repeated order within this time counts as a resend: clients of operators
 # retry for a few seconds only.
 RESEND_WINDOW_MS = 15_000
+# Replicas of a version that was rolled back are gone some seconds later.
+_MAX_REJECTED = 8
 
 
 @dataclass(slots=True)
@@ -47,11 +49,20 @@
 class SoftwareRollouts:
     """Replicated state: the last roll-out of each service."""
 
-    __slots__ = ('by_service',)
+    __slots__ = ('_rejected', 'by_service')
 
     def __init__(self) -> None:
         """Start without roll-outs."""
         self.by_service: dict[str, SoftwareRolloutState] = {}
+        # Versions that were rolled back before the last order, by service.
+        self._rejected: dict[str, list[str]] = {}
+
+    def rejected(self, service: str) -> list[str]:
+        """Return the versions that an earlier roll-out rolled back.
+
+        Their replicas may still be up, and are not of the version in use.
+        """
+        return self._rejected.get(service, [])
 
     def apply(
         self, command: SoftwareRolloutCommand, now_ms: int
@@ -72,6 +83,17 @@
         rollouts = [SoftwareRolloutState(*one) for one in state]
         self.by_service = {one.service: one for one in rollouts}
 
+    def dump_rejected(self) -> dict[str, list[str]]:
+        """Return the rejected versions as JSON types.
+
+        Apart from `dump`, whose form earlier releases read.
+        """
+        return self._rejected
+
+    def load_rejected(self, state: dict[str, list[str]]) -> None:
+        """Replace the rejected versions with dumped ones."""
+        self._rejected = state
+
     def _order(
         self, command: SoftwareRolloutCommand, now_ms: int
     ) -> CommandResult:
@@ -79,6 +101,7 @@
         if known is not None and _is_resent(known, command, now_ms):
             return duplicate(number=known.number)
         number = known.number + 1 if known else 1
+        self._note_rejected(known, command)
         self.by_service[command.service] = SoftwareRolloutState(
             service=command.service,
             target=command.target,
@@ -90,6 +113,19 @@
         )
         return accepted(number=number)
 
+    def _note_rejected(
+        self,
+        known: SoftwareRolloutState | None,
+        command: SoftwareRolloutCommand,
+    ) -> None:
+        rejected = self._rejected.pop(command.service, [])
+        if known is not None and known.state == REVERTED:
+            rejected = [*rejected, known.target]
+        # A version may be ordered again.
+        kept = [one for one in rejected if one != command.target]
+        if kept:
+            self._rejected[command.service] = kept[-_MAX_REJECTED:]
+
     def _advance(self, command: SoftwareRolloutCommand) -> CommandResult:
         known = self.by_service.get(command.service)
         if known is None or known.target != command.target:
--- a/snipebridge/controllers/state_machine.py
+++ b/snipebridge/controllers/state_machine.py
@@ -112,6 +112,7 @@
                 'rollouts': self.rollouts.dump(),
                 'routings': self.routing.dump(),
                 'software_rollouts': self.software_rollouts.dump(),
+                'rejected_software': self.software_rollouts.dump_rejected(),
                 'prompt_quarantines': self.prompt_quarantines.dump(),
                 'evacuations': self.evacuations.dump(),
             },
@@ -132,6 +133,7 @@
         # Older snapshots lack these keys.
         self.routing.load(state.get('routings', [0, '']))
         self.software_rollouts.load(state.get('software_rollouts', []))
+        self.software_rollouts.load_rejected(state.get('rejected_software', {}))
         self.prompt_quarantines.load(state.get('prompt_quarantines', []))
         self.evacuations.load(state.get('evacuations', []))
 
--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -1,5 +1,7 @@
 """The part of a heartbeat that concerns entries which route to services."""
 
+from collections.abc import Sequence
+
 from snipebridge.control.leader import Leadership
 from snipebridge.controllers.software_rollouts import SoftwareRolloutState
 from snipebridge.fleet.prompts import add_prompt_state, take_prompt_report
@@ -38,8 +40,10 @@
     )
     if not machine.routing.version:
         return
+    rollouts = machine.software_rollouts
     reply.software_rollouts.extend(
-        _rollout(one) for one in machine.software_rollouts.by_service.values()
+        _rollout(one, rollouts.rejected(one.service))
+        for one in rollouts.by_service.values()
     )
     routed.add_draws(request.entry, reply)
     reply.model_paces.extend(
@@ -75,11 +79,14 @@
     return listed
 
 
-def _rollout(state: SoftwareRolloutState) -> SoftwareRollout:
+def _rollout(
+    state: SoftwareRolloutState, rejected: Sequence[str]
+) -> SoftwareRollout:
     return SoftwareRollout(
         service=state.service,
         target=state.target,
         share_permille=state.share_permille,
         number=state.number,
         state=state.state,
+        rejected=rejected,
     )
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -199,11 +199,7 @@
             for replica in replicas
             if replica.software == rollout.target
         ]
-        others = [
-            replica
-            for replica in replicas
-            if replica.software != rollout.target
-        ]
+        others = _other_replicas(rollout, replicas)
         if rollout.state == COMPLETED:
             # The old replicas are stopped, so a local stop no longer applies.
             return target or others
@@ -497,6 +493,21 @@
     )
 
 
+def _other_replicas(
+    rollout: SoftwareRollout, replicas: Sequence[Replica]
+) -> list[Replica]:
+    """Return the replicas of the version in use.
+
+    Those of versions that an earlier roll-out rolled back may still be up.
+    """
+    return [
+        replica
+        for replica in replicas
+        if replica.software != rollout.target
+        and replica.software not in rollout.rejected
+    ]
+
+
 def _canary_replicas(
     rollout: SoftwareRollout,
     target: list[Replica],
--- a/tests/controllers/test_routing_state.py
+++ b/tests/controllers/test_routing_state.py
@@ -1,5 +1,7 @@
 """The replicated routing configuration and software roll-outs."""
 
+import orjson
+
 from snipebridge.controllers.state_machine import make_control_state_machine
 from snipebridge.rpc.commands_pb2 import (
     Command,
@@ -94,3 +96,35 @@
     machine.step('v2', 'reverted', 0)
     assert machine.rollout().state == 'completed'
     assert machine.step('v3', 'active', 10).code == CommandResult.CONFLICT
+
+
+def test_versions_that_were_rolled_back_are_kept_for_the_next_rollout():
+    """Guards against a bad version that is forgotten with its roll-out."""
+    machine = StateMachineDriver()
+    rollouts = machine.state.software_rollouts
+    machine.order('v2')
+    machine.step('v2', 'reverted', 0)
+    assert rollouts.rejected('s') == []
+    machine.order('v3')
+    assert rollouts.rejected('s') == ['v2']
+    restored = make_control_state_machine(ControlSettings())
+    restored.restore(machine.state.snapshot())
+    assert restored.software_rollouts.rejected('s') == ['v2']
+    machine.step('v3', 'completed', 1000)
+    machine.order('v4')
+    assert rollouts.rejected('s') == ['v2']
+    machine.step('v4', 'reverted', 0)
+    machine.order('v2')
+    assert rollouts.rejected('s') == ['v4']
+
+
+def test_snapshot_of_an_earlier_release_has_no_rejected_versions():
+    """Guards against a process that can't be upgraded."""
+    machine = StateMachineDriver()
+    machine.order('v2')
+    snapshot = orjson.loads(machine.state.snapshot())
+    snapshot.pop('rejected_software')
+    restored = make_control_state_machine(ControlSettings())
+    restored.restore(orjson.dumps(snapshot))
+    assert restored.software_rollouts.by_service['s'] == machine.rollout()
+    assert restored.software_rollouts.rejected('s') == []
--- a/tests/relay/test_software_selection.py
+++ b/tests/relay/test_software_selection.py
@@ -261,6 +261,51 @@
     assert 0 < sent.count('v2') < 150
 
 
+def test_rejected_version_gets_nothing_in_the_next_rollout():
+    """Guards against a bad version that is taken for the one in use."""
+    replicas = OLD + NEW + [Replica('b0', 's', 'x:1', 'a', 'v3', 4)]
+    choice = SoftwareSelector(5.0)
+    rollout = SoftwareRollout(
+        service='s', target='v3', number=2, rejected=['v2']
+    )
+    for state, share, expected in (
+        ('active', 0, {'v1'}),
+        ('active', 400, {'v1', 'v3'}),
+        ('reverted', 0, {'v1'}),
+        ('completed', 1000, {'v3'}),
+    ):
+        rollout.state = state
+        rollout.share_permille = share
+        choice.apply_rollouts([rollout])
+        for _ in range(9999):
+            choice.record_sent(OLD[0])
+        found = set()
+        for number in range(100):
+            key = f'k{number}'
+            found |= versions(choice, hash_key=key, replicas=replicas)
+        assert found == expected
+
+
+def test_session_stays_on_the_version_in_use_beside_a_rejected_one():
+    """Guards against sessions that a roll-out moves to a bad version."""
+    choice = SoftwareSelector(5.0)
+    choice.record_use(OLD[0], 'session', 0.0)
+    choice.apply_rollouts(
+        [
+            SoftwareRollout(
+                service='s',
+                target='v3',
+                number=2,
+                state='active',
+                share_permille=100,
+                rejected=['v2'],
+            )
+        ]
+    )
+    assert versions(choice, 'session', now_s=1.0) == {'v1'}
+    assert versions(choice, 'session', replicas=NEW, now_s=1.0) == set()
+
+
 @pytest.mark.parametrize('entries', [1, 6, 83, 191, 340])
 def test_trial_keeps_its_share_when_other_replicas_take_few_requests(entries):
     """Requests that are refused there do not reach the service."""
