Find routes whose host has capital letters

Cause: the host of a request is put into lower case, that of a route was not. Change: the index of routes and its look-up use lower case.

tests/routing/test_documents.py: three tests failed before (one asks for a host in capitals, which no request does since it is lowered).

--- a/snipebridge/routing/tables.py
+++ b/snipebridge/routing/tables.py
@@ -146,7 +146,7 @@
             self.routes, key=lambda route: -len(route.path_prefix)
         )
         for route in longest_first:
-            self._by_host.setdefault(route.host, []).append(route)
+            self._by_host.setdefault(route.host.lower(), []).append(route)
         self._by_key = {
             key: account
             for account in self.accounts or ()
@@ -165,8 +165,11 @@
         return [one.fault for one in owners if one.fault]
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route of a host with the longest matching prefix."""
-        for route in self._by_host.get(host, ()):
+        """Return the route of a host with the longest matching prefix.
+
+        The case of a host counts for nothing (RFC 9110, 4.2.3).
+        """
+        for route in self._by_host.get(host.lower(), ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
--- a/tests/routing/test_documents.py
+++ b/tests/routing/test_documents.py
@@ -109,3 +109,15 @@
     """A document that is not complete JSON is refused."""
     with pytest.raises(DocumentError):
         read_table(orjson.dumps(DOCUMENT)[:-20])
+
+
+@pytest.mark.parametrize('host', ['A.Example', 'a.example', 'A.EXAMPLE'])
+def test_case_of_a_host_counts_for_nothing(host):
+    """Guards against a route that answers 404 since a letter is a capital."""
+
+    def change(document):
+        document['routes'][0]['host'] = host
+
+    table = read_table(changed(change))
+    for asked in ('a.example', 'A.Example'):
+        assert table.find_route(asked, '/look/x').name == 'look'
