--- a/review/system_3.py
+++ b/review/system_3.py
@@ -209,7 +209,7 @@
         """Choose ports that are free on all addresses."""
         ports = _free_ports(5)
         self.record = record
-        self.replicas = replicas
+        self.replicas = list(replicas)
         self.controls = [f'127.0.6.{place + 1}' for place in range(len(ZONES))]
         self.entries = [f'127.0.7.{place + 1}' for place in range(len(ZONES))]
         self.programs: dict[str, Program] = {}
@@ -217,6 +217,7 @@
         self._folder = folder
         self._list = PlatformList(replicas)
         self._watch: asyncio.Task | None = None
+        self._is_down = False
 
     async def start(self, document: dict) -> None:
         """Start everything and wait until all entries are ready."""
@@ -249,6 +250,22 @@
         for replica in self.replicas:
             replica.stop()
 
+    async def kill_all(self, down_s: float) -> None:
+        """Kill all processes at once, and start them again."""
+        self._is_down = True
+        for program in self.programs.values():
+            program.kill()
+        await asyncio.sleep(down_s)
+        for program in self.programs.values():
+            program.start()
+        self._is_down = False
+
+    async def add(self, replica: Replica) -> None:
+        """Start a replica and list it."""
+        await replica.start()
+        self.replicas.append(replica)
+        self._list.replicas.append(replica)
+
     async def put(self, document: dict) -> None:
         """Put a configuration until it is acknowledged."""
         version = document['version']
@@ -307,7 +324,7 @@
         while True:
             await asyncio.sleep(_RESTART_S)
             for program in self.programs.values():
-                if program.has_ended:
+                if program.has_ended and not self._is_down:
                     program.ends += 1
                     self.record.add(f'{program.name} has ended by itself')
                     program.start()
