--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+CASE_FOLDER=$(cd "$(dirname "$0")" && pwd) || exit 2
+export CASE_FOLDER
+ROOT=$(cd "$CASE_FOLDER/../.." && pwd) || exit 2
+cd "$ROOT" || exit 2
+PYTHONPATH="$ROOT:$ROOT/review:$ROOT/target/deps" exec python3 "$CASE_FOLDER/case.py"
