--- a/review/system_3.py
+++ b/review/system_3.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -371,6 +372,8 @@
     record = Record(Path(os.environ['CASE_FOLDER']) / 'record.txt')
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add(f'with the disruption: {has_trouble}')
+    # The processes are ended also where the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(_CANNOT_RUN))
     try:
         is_broken = asyncio.run(_play(case, record, replicas, document))
     except Exception as error:
