--- a/review/system_3.py
+++ b/review/system_3.py
@@ -102,6 +102,10 @@
             'warm_up_left_ms': 0,
         }
 
+    def status(self) -> str:
+        """Return the status of the next answer."""
+        return '200 OK'
+
     async def _serve(self, reader, writer) -> None:
         try:
             while True:
@@ -129,7 +133,7 @@
             'X-Instance-Load': f'{self._running},0,16',
         }
         body = f'{self.service} {self.software}'.encode()
-        writer.write(_head('200 OK', named, len(body)) + body)
+        writer.write(_head(self.status(), named, len(body)) + body)
         await writer.drain()
 
 
