Keep an evacuation withdrawn when its order is sent again

Cause: that of the roll-outs, without any window: every order that differs from what is in force counted as new.

Change: the leader numbers evacuations and withdrawals as it does orders of roll-outs, and the state has the last 32 of each of 256 data centres. The window counts from the last copy, since these are resent until they are answered. The answer says what is in force.

--- a/snipebridge/admin/orders.py
+++ b/snipebridge/admin/orders.py
@@ -19,6 +19,7 @@
 from snipebridge.rpc.commands_pb2 import (
     Command,
     CommandResult,
+    EvacuationCommand,
     SoftwareRolloutCommand,
 )
 
@@ -72,6 +73,39 @@
 
         return await self._take(subject, arrived_s, judge)
 
+    async def take_evacuation(self, order: EvacuationCommand) -> OrderOutcome:
+        """Return once the evacuation or withdrawal is in force, or was before.
+
+        It is resent until it is answered, so its age is that of its last copy.
+        """
+        evacuations = self._leadership.machine.evacuations
+        arrived_s = self._now_s()
+        subject = ('evacuation', order.data_centre)
+
+        def judge() -> tuple[Command | None, OrderOutcome]:
+            changes = evacuations.changes(order.data_centre)
+            last = evacuations.last_number(order.data_centre)
+            ages_s = {
+                one.number: self._age_s((*subject, one.number))
+                for one in changes
+            }
+            last_age_s = ages_s.get(last)
+            same = [one for one in changes if one.withdrawn == order.withdrawn]
+            if same and is_resent(
+                order.withdrawn,
+                [PastOrder(order.withdrawn, ages_s[same[-1].number])],
+                self._window_s,
+            ):
+                self._leadership.order_arrivals.note(
+                    (*subject, same[-1].number), arrived_s
+                )
+                return None, OrderOutcome(True, 0, last, last_age_s)
+            order.number = last + 1
+            command = Command(evacuation=order)
+            return command, OrderOutcome(False, last + 1, last, last_age_s)
+
+        return await self._take(subject, arrived_s, judge)
+
     async def _take(
         self,
         subject: tuple[str, str],
@@ -87,10 +121,9 @@
                 # What is told of the order in force has to be the newest.
                 await replica.read_barrier()
                 return outcome
-            # The order may be committed although its outcome stays unknown.
-            arrivals.note((*subject, outcome.number), arrived_s)
             results = await replica.submit([command])
             if results[0].code != CommandResult.CONFLICT:
+                arrivals.note((*subject, outcome.number), arrived_s)
                 return outcome
 
     def _age_s(self, order: tuple[str, str, int]) -> float:
--- a/snipebridge/admin/routing.py
+++ b/snipebridge/admin/routing.py
@@ -163,12 +163,15 @@
         """Order or withdraw an evacuation; durable before the answer.
 
         A data centre without a listed replica is accepted, as the list may be
-        late; the answer counts the replicas, so that a wrong name shows.
+        late; the answer counts the replicas, so that a wrong name shows. It
+        says what is in force: an order that is resent after its opposite is
+        acknowledged, and changes nothing.
         """
         name = _read_data_centre(request.path)
         is_withdrawn = request.method == 'DELETE'
         command = EvacuationCommand(data_centre=name, withdrawn=is_withdrawn)
-        result = await self._submit(Command(evacuation=command))
+        outcome = await self._orders.take_evacuation(command)
+        is_evacuated = self._leadership.machine.evacuations.is_evacuated(name)
         replicas = sum(
             one.data_centre == name
             for one in self._leadership.routed.held.replicas
@@ -177,13 +180,17 @@
             'evacuation_order',
             data_centre=name,
             withdrawn=is_withdrawn,
-            repeated=result.code == CommandResult.DUPLICATE,
+            resent=outcome.is_resent,
+            number=outcome.number,
+            last_number=outcome.last_number,
+            last_age_s=outcome.last_age_s,
+            evacuated=is_evacuated,
             replicas=replicas,
         )
         return json_response(
             {
                 'data_centre': name,
-                'evacuated': not is_withdrawn,
+                'evacuated': is_evacuated,
                 'replicas': replicas,
             }
         )
--- a/snipebridge/controllers/state_machine.py
+++ b/snipebridge/controllers/state_machine.py
@@ -1,11 +1,14 @@
 """The state machine of the control processes, driven by the log."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 import orjson
 
 from snipebridge.controllers.configuration import Configuration
-from snipebridge.controllers.evacuations import Evacuations
+from snipebridge.controllers.evacuations import (
+    EvacuationChange,
+    Evacuations,
+)
 from snipebridge.controllers.fencing import Fencing
 from snipebridge.controllers.ledger import Ledger
 from snipebridge.controllers.members import EntryMembers
@@ -14,12 +17,16 @@
 from snipebridge.controllers.results import invalid
 from snipebridge.controllers.rollouts import RolloutStates
 from snipebridge.controllers.routing_state import RoutingState
-from snipebridge.controllers.software_rollouts import SoftwareRollouts
+from snipebridge.controllers.software_rollouts import (
+    SoftwareOrder,
+    SoftwareRollouts,
+)
 from snipebridge.rpc.commands_pb2 import Command, CommandResult
 from snipebridge.settings.models import ControlSettings
 
 # The kind of an order, its subject, and its number there.
 OrderName = tuple[str, str, int]
+NumberedOrder = SoftwareOrder | EvacuationChange
 
 _MS_PER_S = 1000
 _FORMAT = 1
@@ -102,10 +109,11 @@
 
     def ordered_at_ms(self) -> dict[OrderName, int]:
         """Return when each order that may be resent was proposed."""
+        orders = self.software_rollouts.all_orders()
+        changes = self.evacuations.all_changes()
         return {
-            ('software', service, order.number): order.ordered_at_ms
-            for service, orders in self.software_rollouts.all_orders().items()
-            for order in orders
+            **_ordered_at_ms('software', orders),
+            **_ordered_at_ms('evacuation', changes),
         }
 
     def snapshot(self) -> bytes:
@@ -127,6 +135,7 @@
                 'software_orders': self.software_rollouts.dump_orders(),
                 'prompt_quarantines': self.prompt_quarantines.dump(),
                 'evacuations': self.evacuations.dump(),
+                'evacuation_changes': self.evacuations.dump_changes(),
             },
             option=orjson.OPT_SORT_KEYS,
         )
@@ -149,6 +158,7 @@
         self.software_rollouts.load_orders(state.get('software_orders', {}))
         self.prompt_quarantines.load(state.get('prompt_quarantines', []))
         self.evacuations.load(state.get('evacuations', []))
+        self.evacuations.load_changes(state.get('evacuation_changes', {}))
 
     def _apply_patch(self, command: Command) -> CommandResult:
         previous = self.configuration.document
@@ -176,3 +186,13 @@
         record_retention_ms=int(settings.record_retention_s * _MS_PER_S),
         bill_retention_ms=int(settings.bill_retention_s * _MS_PER_S),
     )
+
+
+def _ordered_at_ms(
+    kind: str, by_subject: Mapping[str, Sequence[NumberedOrder]]
+) -> dict[OrderName, int]:
+    return {
+        (kind, subject, order.number): order.ordered_at_ms
+        for subject, orders in by_subject.items()
+        for order in orders
+    }
--- a/tests/admin/order_schedules.py
+++ b/tests/admin/order_schedules.py
@@ -243,7 +243,9 @@
     def resend(self):
         """Send unanswered orders again, while that is allowed."""
         for order in self.orders:
-            may = self.now_s - order.sent_s <= RESEND_S
+            is_late = self.now_s - order.sent_s > RESEND_S
+            # Evacuations are sent until they are answered.
+            may = self.subject == EVACUATION or not is_late
             is_due = self.now_s - order.last_sent_s >= CALL_S
             if may and is_due and not order.is_answered:
                 self.send(order)
@@ -263,7 +265,8 @@
             method = self.rng.choice(('POST', 'DELETE'))
             drawn = (method, self.subject, '')
         is_ambiguous = any(
-            one.content == drawn and self.now_s - one.sent_s < DISTINCT_S
+            one.content == drawn
+            and self.now_s - self._counted_from_s(one) < DISTINCT_S
             for one in self.orders
         )
         if not is_ambiguous:
@@ -271,6 +274,10 @@
             self.orders.append(order)
             self.send(order)
 
+    def _counted_from_s(self, order):
+        is_evacuation = self.subject == EVACUATION
+        return order.last_sent_s if is_evacuation else order.sent_s
+
     def last(self):
         """Return the order that must be in force."""
         placed = [one for one in self.orders if one.place]
--- a/tests/admin/test_resent_orders.py
+++ b/tests/admin/test_resent_orders.py
@@ -1,13 +1,19 @@
-"""Orders of roll-outs that are sent again, and such that only look so."""
+"""Orders that are sent again, and such that only look so."""
 
 import orjson
 import pytest
 
-from snipebridge.rpc.commands_pb2 import Command, SoftwareRolloutCommand
+from snipebridge.controllers.evacuations import Evacuations
+from snipebridge.rpc.commands_pb2 import (
+    Command,
+    EvacuationCommand,
+    SoftwareRolloutCommand,
+)
 from snipebridge.settings.models import PromiseSettings
 from tests.running_control import run_with_control
 
 ROLLOUTS = '/admin/v1/software-rollouts'
+EVACUATION = '/admin/v1/evacuations/tunis-a'
 RESEND_S = PromiseSettings().resend_ms / 1000
 
 
@@ -30,6 +36,12 @@
         answer = await self.control.call(f'{ROLLOUTS}/s')
         return answer.body['target'], answer.body['state']
 
+    async def evacuate(self, method='POST'):
+        """Evacuate, or withdraw it; return whether it is in force now."""
+        answer = await self.control.call(EVACUATION, method)
+        assert answer.status == 200
+        return answer.body['evacuated']
+
     async def end(self, target, state, **fields):
         """End a roll-out, as the leader does."""
         step = SoftwareRolloutCommand(
@@ -226,3 +238,68 @@
         assert operator.rollouts.last_number('s') == 1
 
     play(scenario)
+
+
+def test_evacuation_resent_after_its_withdrawal_stays_withdrawn():
+    """Guards against a data centre that gets nothing and nobody evacuated."""
+
+    async def scenario(operator):
+        assert await operator.evacuate()
+        operator.wait(60)
+        # Copies come until one is answered.
+        assert await operator.evacuate()
+        assert not await operator.evacuate('DELETE')
+        operator.wait(1)
+        assert not await operator.evacuate()
+        operator.wait(RESEND_S + 2)
+        assert await operator.evacuate()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('is_evacuated', [True, False])
+def test_withdrawal_resent_after_a_new_evacuation_leaves_it(is_evacuated):
+    """Guards against requests to a data centre that was evacuated."""
+
+    async def scenario(operator):
+        if is_evacuated:
+            await operator.evacuate()
+            operator.wait(60)
+        assert not await operator.evacuate('DELETE')
+        operator.wait(1)
+        # The evacuation itself is an old order by now.
+        assert await operator.evacuate()
+        assert await operator.evacuate('DELETE')
+        operator.wait(RESEND_S + 2)
+        assert not await operator.evacuate('DELETE')
+
+    play(scenario)
+
+
+def test_changes_of_evacuations_are_in_the_snapshot():
+    """Guards against a resent order that is new after a snapshot."""
+
+    async def scenario(operator):
+        await operator.evacuate()
+        await operator.evacuate('DELETE')
+        machine = operator.control.machine
+        machine.restore(machine.snapshot())
+        operator.wait(1)
+        assert not await operator.evacuate()
+
+    play(scenario)
+
+
+def test_names_of_data_centres_are_kept_to_a_limit():
+    """Guards against a state that grows with each name that is ordered."""
+    evacuations = Evacuations()
+    for place in range(400):
+        for withdrawn in (False, True):
+            order = EvacuationCommand(
+                data_centre=f'd{place}', withdrawn=withdrawn
+            )
+            evacuations.apply(order, now_ms=place)
+    evacuations.apply(EvacuationCommand(data_centre='d0'), now_ms=400)
+    kept = evacuations.all_changes()
+    assert len(kept) == 256
+    assert {'d0', 'd399'} <= kept.keys()
