Drop an operator's call when its connection has closed

What callers saw: nothing yet; a copy of an order may be passed on to the leader for up to 10 s, while its operator gives up after a second and sends it again. Carried out so late it is no copy any more, but a new order.

Cause: the operators' listener did not look at a connection while it answered, so a call outlived its caller.

Change: the task that answers is cancelled when the connection closes, which also cancels the call to the leader. A change of the log's members goes on, as before, since it has several steps.

Not covered: a process that was frozen takes up calls whose operators have left; it reads the call before it notices the close.

--- a/snipebridge/admin/api.py
+++ b/snipebridge/admin/api.py
@@ -3,11 +3,16 @@
 Any control process answers: what only the leader knows is passed on to it.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Protocol
 
-from snipebridge.admin.members import apply_member_change, read_member_change
+from snipebridge.admin.members import (
+    MemberChange,
+    apply_member_change,
+    read_member_change,
+)
 from snipebridge.admin.messages import (
     JSON_LINES_TYPE,
     AdminError,
@@ -212,9 +217,13 @@
 
     async def _change_member(self, request: AdminRequest) -> AdminResponse:
         change = read_member_change(request.body)
+        # A change of several steps is not left half done by a dropped call.
+        await asyncio.shield(self._apply_member_change(change))
+        return json_response({'members': member_list(self._replica)})
+
+    async def _apply_member_change(self, change: MemberChange) -> None:
         await apply_member_change(self._replica, change)
         log_decision('member', action=change.action, name=change.name)
-        return json_response({'members': member_list(self._replica)})
 
 
 def _no_leader() -> AdminError:
--- a/snipebridge/admin/server.py
+++ b/snipebridge/admin/server.py
@@ -1,5 +1,6 @@
 """The operators' HTTP listener: tornado handlers around `AdminApi`."""
 
+import asyncio
 import ssl
 from collections.abc import Callable
 from http import HTTPStatus
@@ -11,6 +12,7 @@
 from snipebridge.admin.api import AdminApi
 from snipebridge.admin.messages import AdminError, AdminRequest, AdminResponse
 from snipebridge.control.metrics import ControlMetrics
+from snipebridge.logs import log_decision
 from snipebridge.metrics import RenderedMetrics
 from snipebridge.settings.models import ListenerSettings
 
@@ -51,6 +53,16 @@
         self._api = api
         self._limit_bytes = limit_bytes
         self._body = bytearray()
+        self._answering: asyncio.Task[AdminResponse] | None = None
+
+    def on_connection_close(self) -> None:
+        """Drop a call whose operator has left.
+
+        Operators send it again; a copy that waits for the leader must not be
+        carried out after that.
+        """
+        if self._answering is not None:
+            self._answering.cancel()
 
     def prepare(self) -> None:
         """Refuse a body that is announced as too long."""
@@ -113,7 +125,14 @@
             idempotency_key=headers.get('Idempotency-Key', ''),
             body=body,
         )
-        self.send(await self._api.answer(request))
+        self._answering = asyncio.create_task(self._api.answer(request))
+        await asyncio.wait([self._answering])
+        if self._answering.cancelled():
+            log_decision(
+                'call_dropped', method=request.method, path=request.path
+            )
+            return
+        self.send(self._answering.result())
 
 
 class ProbeHandler(JsonHandler):
