Read a roll-out by the encoded name of its service

Cause: the rest of the path was taken as the name without decoding it; the command line did not encode it either.

Change: both do. Evidence: test_rollout_is_read_by_the_encoded_name failed for each of three names before.

--- a/snipebridge/admin/routing.py
+++ b/snipebridge/admin/routing.py
@@ -136,7 +136,7 @@
 
     async def _read_rollout(self, request: AdminRequest) -> AdminResponse:
         await self._replica.read_barrier()
-        service = request.path.removeprefix(f'{ROLLOUTS_PATH}/')
+        service = unquote(request.path.removeprefix(f'{ROLLOUTS_PATH}/'))
         rollouts = self._leadership.machine.software_rollouts.by_service
         rollout = rollouts.get(service)
         if rollout is None:
--- a/snipebridge/cli/commands.py
+++ b/snipebridge/cli/commands.py
@@ -8,6 +8,7 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable, Sequence
+from urllib.parse import quote
 
 from absl import flags
 
@@ -83,7 +84,7 @@
     """Order the roll-out of a service's software, or print its state."""
     service = _only_argument(arguments, 'SERVICE')
     if not flag_values.target:
-        path = f'/admin/v1/software-rollouts/{service}'
+        path = f'/admin/v1/software-rollouts/{quote(service, safe="")}'
         return _print_page(path, flag_values, environment)
     client = _client(flag_values, environment)
     try:
--- a/tests/admin/test_routing.py
+++ b/tests/admin/test_routing.py
@@ -1,6 +1,7 @@
 """Operators' pages on routes and on roll-outs of software."""
 
 import copy
+from urllib.parse import quote
 
 import orjson
 import pytest
@@ -137,6 +138,19 @@
     run_with_control(scenario)
 
 
+@pytest.mark.parametrize('service', ['予約台帳', 'member studio', 'a/b'])
+def test_rollout_is_read_by_the_encoded_name_of_its_service(service):
+    """Guards against a name that is accepted and can't be read back."""
+
+    async def scenario(control):
+        path = '/admin/v1/software-rollouts'
+        await control.call(path, 'POST', order(service=service))
+        answer = await control.call(f'{path}/{quote(service, safe="")}')
+        assert (answer.status, answer.body['target']) == (200, 'v2')
+
+    run_with_control(scenario)
+
+
 def test_evacuation_is_ordered_and_withdrawn():
     """Resent orders are acknowledged again; a name in use is counted."""
 
