Refuse a roll-out of more than 30 days

Cause: the duration was only checked to be above 0, and the state machine turned it into whole milliseconds, which infinity has none of.

Change: an order has 30 days at most, and is refused above that; one that is in the log of an earlier release is applied as 30 days.

Evidence: the two new cases of test_bad_orders_are_refused and the two of test_order_of_an_earlier_release_without_end_is_applied failed before.

--- a/snipebridge/admin/routing.py
+++ b/snipebridge/admin/routing.py
@@ -23,6 +23,7 @@
 )
 from snipebridge.admin.orders import OrderTaker
 from snipebridge.control.leader import Leadership
+from snipebridge.controllers.software_rollouts import MAX_DURATION_S
 from snipebridge.logs import log_decision
 from snipebridge.routing.documents import check_names, read_table
 from snipebridge.routing.errors import DocumentError
@@ -232,8 +233,13 @@
             return f'{name}: found {content.get(name)!r}, allowed is a text'
     duration_s = content.get('deadline_s')
     is_number = isinstance(duration_s, int | float)
-    if not is_number or isinstance(duration_s, bool) or duration_s <= 0:
-        return f'deadline_s: found {duration_s!r}, allowed is more than 0'
+    if not is_number or isinstance(duration_s, bool):
+        return f'deadline_s: found {duration_s!r}, allowed is a number'
+    if not 0 < duration_s <= MAX_DURATION_S:
+        return (
+            f'deadline_s: found {duration_s!r}, allowed is more than 0 and at '
+            f'most {MAX_DURATION_S:.0f}'
+        )
     return ''
 
 
--- a/snipebridge/controllers/software_rollouts.py
+++ b/snipebridge/controllers/software_rollouts.py
@@ -41,6 +41,8 @@
 # Several times the orders that operators may have under way at once.
 _MAX_ORDERS = 32
 _WHOLE_PERMILLE = 1000
+# 30 days: an order of more is a mistake. Logs of earlier releases may have one.
+MAX_DURATION_S = 2_592_000.0
 
 
 @dataclass(slots=True)
@@ -225,7 +227,7 @@
 
 def duration_ms(command: SoftwareRolloutCommand) -> int:
     """Return the time that an order gives its roll-out."""
-    return int(command.duration_s * 1000)
+    return int(min(command.duration_s, MAX_DURATION_S) * 1000)
 
 
 def _is_under_way(
--- a/tests/admin/test_resent_orders.py
+++ b/tests/admin/test_resent_orders.py
@@ -303,3 +303,17 @@
     kept = evacuations.all_changes()
     assert len(kept) == 256
     assert {'d0', 'd399'} <= kept.keys()
+
+
+@pytest.mark.parametrize('duration_s', [1.7976931348623157e308, float('inf')])
+def test_order_of_an_earlier_release_without_end_is_applied(duration_s):
+    """Guards against control processes that end at each start."""
+
+    async def scenario(operator):
+        order = SoftwareRolloutCommand(
+            service='s', target='v2', state='active', duration_s=duration_s
+        )
+        await operator.control.replica.submit([Command(software_rollout=order)])
+        assert await operator.read() == ('v2', 'active')
+
+    play(scenario)
--- a/tests/admin/test_routing.py
+++ b/tests/admin/test_routing.py
@@ -211,6 +211,8 @@
         order(target=5),
         order(deadline_s=0),
         order(deadline_s=True),
+        order(deadline_s=1.7976931348623157e308),
+        order(deadline_s=31 * 86400),
     ],
 )
 def test_bad_orders_are_refused(body):
