Refuse a second route of one host whose case differs

Cause: routes were compared by the host as it was written and looked up in small letters. Ruled out: what requests name as their host, which is read in small letters already.

Change: hosts are put into small letters where a document is read. Such a document is refused when it is new; one that an earlier release has acknowledged stays in force and is acknowledged again.

Evidence: test_second_route_of_one_host_and_prefix_is_refused[A.Example] failed before. test_second_route_of_an_earlier_release_stays_in_force guards the upgrade; it failed before only for a wrong path of its own.

--- a/snipebridge/admin/routing.py
+++ b/snipebridge/admin/routing.py
@@ -25,7 +25,7 @@
 from snipebridge.control.leader import Leadership
 from snipebridge.controllers.software_rollouts import MAX_DURATION_S
 from snipebridge.logs import log_decision
-from snipebridge.routing.documents import check_names, read_table
+from snipebridge.routing.documents import check_faults, read_table
 from snipebridge.routing.errors import DocumentError
 from snipebridge.routing.tables import RoutingTable
 from snipebridge.rpc.commands_pb2 import (
@@ -82,7 +82,7 @@
         document = request.body.encode()
         try:
             table = read_table(document)
-            self._check_names(table, document)
+            self._check_faults(table, document)
         except DocumentError as error:
             log_decision('routing_refused', reason=error.message)
             raise AdminError(
@@ -102,14 +102,14 @@
         )
         return json_response({'version': result.number, 'taken': is_taken})
 
-    def _check_names(self, table: RoutingTable, document: bytes) -> None:
-        """Raise `DocumentError` for a new name that replicas can't be told.
+    def _check_faults(self, table: RoutingTable, document: bytes) -> None:
+        """Raise `DocumentError` for a fault that earlier releases took.
 
         What is in force was acknowledged, maybe by an earlier release, and is
         acknowledged again.
         """
         if document != self._leadership.machine.routing.document:
-            check_names(table)
+            check_faults(table)
 
     async def _order_rollout(self, request: AdminRequest) -> AdminResponse:
         """Order a roll-out; the answer tells what is in force, as `GET` does.
--- a/snipebridge/cli/checking.py
+++ b/snipebridge/cli/checking.py
@@ -5,7 +5,7 @@
 
 from snipebridge.cli.errors import CommandError
 from snipebridge.exits import ExitStatus
-from snipebridge.routing.documents import check_names, read_table
+from snipebridge.routing.documents import check_faults, read_table
 from snipebridge.routing.errors import DocumentError
 from snipebridge.settings.loading import load_settings
 
@@ -39,7 +39,7 @@
 
 def _check_routing(path: str) -> None:
     try:
-        check_names(read_table(Path(path).read_bytes()))
+        check_faults(read_table(Path(path).read_bytes()))
     except DocumentError as error:
         raise CommandError(
             f'{path}: {error.message}', ExitStatus.REFUSED
--- a/snipebridge/routing/documents.py
+++ b/snipebridge/routing/documents.py
@@ -12,7 +12,6 @@
 snipebridge.routing.errors.DocumentError: the document is not valid JSON
 """
 
-from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -29,6 +28,7 @@
     Service,
     Split,
     Tier,
+    duplicate_faults,
 )
 from snipebridge.upstreams.heads import name_fault
 
@@ -123,25 +123,24 @@
         service.name: service
         for service in map(_read_service, root.sections('services'))
     }
-    routes = tuple(
-        _read_route(section, services) for section in root.sections('routes')
-    )
+    sections = root.sections('routes')
+    routes = tuple(_read_route(section, services) for section in sections)
     accounts = None
     if root.has('accounts'):
         accounts = tuple(map(_read_account, root.sections('accounts')))
         _check_keys(accounts)
-    _check_unique_routes(routes)
+    _check_unique_routes(sections)
     limits = CallerLimits()
     if root.has('limits'):
         limits = _read_limits(root.section('limits'))
     return RoutingTable(int(version), routes, services, accounts, limits)
 
 
-def check_names(table: RoutingTable) -> None:
-    """Raise `DocumentError` for a name that replicas can't be told.
+def check_faults(table: RoutingTable) -> None:
+    """Raise `DocumentError` for what earlier releases took and this doesn't.
 
     Not part of `read_table`: a configuration that is in force already must
-    stay readable, so that one such name takes nothing away from the others.
+    stay readable, so that one fault takes nothing away from the others.
     """
     if table.faults:
         raise DocumentError(table.faults[0])
@@ -157,7 +156,8 @@
     tiers = section.texts('tiers')
     return Route(
         name=section.text('name'),
-        host=section.text('host'),
+        # Hosts are compared in small letters (RFC 9110, 4.2.3).
+        host=section.text('host').lower(),
         path_prefix=prefix,
         kind=_read_kind(section),
         timeout_s=timeout_s,
@@ -271,14 +271,18 @@
     )
 
 
-def _check_unique_routes(routes: Iterable[Route]) -> None:
-    counts = Counter((route.host, route.path_prefix) for route in routes)
-    for (host, prefix), count in counts.items():
-        if count > 1:
-            raise DocumentError(
-                f'routes: found {count} routes of {host}{prefix}, '
-                'allowed is one'
-            )
+def _check_unique_routes(sections: Iterable[_Section]) -> None:
+    """Raise `DocumentError` for two routes whose hosts are written alike.
+
+    Earlier releases took hosts that differ in the case of a letter, so these
+    are among the faults of the table.
+    """
+    faults = duplicate_faults(
+        (section.text('host'), section.text('path_prefix'))
+        for section in sections
+    )
+    if faults:
+        raise DocumentError(faults[0])
 
 
 def _check_keys(accounts: Iterable[RoutedAccount]) -> None:
--- a/snipebridge/routing/tables.py
+++ b/snipebridge/routing/tables.py
@@ -9,6 +9,8 @@
 """
 
 import enum
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 
@@ -146,7 +148,7 @@
             self.routes, key=lambda route: -len(route.path_prefix)
         )
         for route in longest_first:
-            self._by_host.setdefault(route.host.lower(), []).append(route)
+            self._by_host.setdefault(route.host, []).append(route)
         self._by_key = {
             key: account
             for account in self.accounts or ()
@@ -160,9 +162,13 @@
 
     @property
     def faults(self) -> list[str]:
-        """What is wrong with names that replicas can't be told."""
+        """Names that replicas can't be told, and routes that are never found."""
         owners = (*self.routes, *(self.accounts or ()))
-        return [one.fault for one in owners if one.fault]
+        places = ((route.host, route.path_prefix) for route in self.routes)
+        return [
+            *(one.fault for one in owners if one.fault),
+            *duplicate_faults(places),
+        ]
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching prefix.
@@ -177,3 +183,16 @@
     def find_account(self, key: str) -> RoutedAccount | None:
         """Return the account of a key."""
         return self._by_key.get(key)
+
+
+def duplicate_faults(places: Iterable[tuple[str, str]]) -> list[str]:
+    """Return what is wrong with routes of the same host and prefix.
+
+    >>> duplicate_faults([('a', '/'), ('a', '/')])
+    ['routes: found 2 routes of a/, allowed is one']
+    """
+    return [
+        f'routes: found {count} routes of {host}{prefix}, allowed is one'
+        for (host, prefix), count in Counter(places).items()
+        if count > 1
+    ]
--- a/tests/admin/test_routing.py
+++ b/tests/admin/test_routing.py
@@ -7,6 +7,7 @@
 import pytest
 
 from fakes.platform_caller import DOCUMENT
+from snipebridge.routing.documents import read_table
 from snipebridge.rpc.commands_pb2 import Command, RoutingCommand
 from tests.running_control import run_with_control
 
@@ -90,6 +91,45 @@
     run_with_control(scenario)
 
 
+@pytest.mark.parametrize('host', ['a.example', 'A.Example'])
+def test_second_route_of_one_host_and_prefix_is_refused(host):
+    """Guards against a route that is acknowledged and gets no request."""
+
+    async def scenario(control):
+        put = orjson.loads(document(1))
+        twin = {**put['routes'][0], 'name': 'twin', 'host': host}
+        put['routes'].append(twin)
+        answer = await control.call(
+            '/admin/v1/routing', 'PUT', orjson.dumps(put)
+        )
+        assert answer.status == 400
+        assert 'found 2 routes of a.example/' in answer.error['message']
+        twin['path_prefix'] = '/twin/'
+        answer = await control.call(
+            '/admin/v1/routing', 'PUT', orjson.dumps(put)
+        )
+        assert answer.status == 200
+
+    run_with_control(scenario)
+
+
+def test_second_route_of_an_earlier_release_stays_in_force():
+    """Guards against entries that can't read what was acknowledged."""
+
+    async def scenario(control):
+        put = orjson.loads(document(4))
+        put['routes'].append({**put['routes'][0], 'host': 'A.Example'})
+        accepted = orjson.dumps(put)
+        command = RoutingCommand(version=4, document=accepted)
+        await control.replica.submit([Command(routing=command)])
+        answer = await control.call('/admin/v1/routing', 'PUT', accepted)
+        assert (answer.status, answer.body['version']) == (200, 4)
+        route = read_table(accepted).find_route('A.Example', '/look/x')
+        assert route.name == put['routes'][0]['name']
+
+    run_with_control(scenario)
+
+
 def test_names_of_other_alphabets_are_taken():
     """Guards against a check that refuses more than it has to."""
 
