Know the version in use, and give it all traffic when it is ordered back

Cause: neither the replicated state nor the entries knew which version is in use. Entries took each version but the target for it, which was the bad one only, and the version in use was on trial. Ruled out: sessions that the bad version had.

Change: the state has the version in use: the last one completed, before that the one with most listed replicas that was never ordered, which the leader adds to the order. An order of it has no trial and is completed at its deadline; beside another target only its replicas are in use.

The new tests name the new field, so on the code before they fail for that already.

--- a/snipebridge/admin/orders.py
+++ b/snipebridge/admin/orders.py
@@ -6,6 +6,7 @@
 order took that number meanwhile, the verdict is formed again.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -68,6 +69,7 @@
             if is_resent(content, past.values(), self._window_s):
                 return None, OrderOutcome(True, 0, last, last_age_s)
             order.number = last + 1
+            order.in_use = self._most_listed(order)
             command = Command(software_rollout=order)
             return command, OrderOutcome(False, last + 1, last, last_age_s)
 
@@ -126,6 +128,19 @@
                 arrivals.note((*subject, outcome.number), arrived_s)
                 return outcome
 
+    def _most_listed(self, order: SoftwareRolloutCommand) -> str:
+        """Return the version of most replicas that was never ordered."""
+        orders = self._leadership.machine.software_rollouts.orders(
+            order.service
+        )
+        ordered = {order.target, *(one.target for one in orders)}
+        versions = Counter(
+            one.software
+            for one in self._leadership.routed.held.replicas
+            if one.service == order.service and one.software not in ordered
+        )
+        return max(versions, key=versions.__getitem__, default='')
+
     def _age_s(self, order: tuple[str, str, int]) -> float:
         return self._leadership.order_arrivals.age_s(order, self._now_s())
 
--- a/snipebridge/controllers/software_rollouts.py
+++ b/snipebridge/controllers/software_rollouts.py
@@ -72,7 +72,7 @@
 class SoftwareRollouts:
     """Replicated state: the last roll-out and the last orders of services."""
 
-    __slots__ = ('_orders', '_rejected', 'by_service')
+    __slots__ = ('_in_use', '_orders', '_rejected', 'by_service')
 
     def __init__(self) -> None:
         """Start without roll-outs."""
@@ -80,6 +80,7 @@
         # Versions that were rolled back before the last order, by service.
         self._rejected: dict[str, list[str]] = {}
         self._orders: dict[str, list[SoftwareOrder]] = {}
+        self._in_use: dict[str, str] = {}
 
     def rejected(self, service: str) -> list[str]:
         """Return the versions that an earlier roll-out rolled back.
@@ -88,6 +89,13 @@
         """
         return self._rejected.get(service, [])
 
+    def in_use(self, service: str) -> str:
+        """Return the version that was rolled out last, empty if not known.
+
+        A version whose trial a later order cut short isn't one.
+        """
+        return self._in_use.get(service, '')
+
     def orders(self, service: str) -> Sequence[SoftwareOrder]:
         """Return the last orders of a service, the oldest first."""
         return self._orders.get(service, ())
@@ -158,6 +166,23 @@
         for service, orders in state.items():
             self._orders[service] = [SoftwareOrder(*one) for one in orders]
 
+    def dump_in_use(self) -> dict[str, str]:
+        """Return the versions in use, apart from `dump` as well."""
+        return self._in_use
+
+    def load_in_use(self, state: dict[str, str]) -> None:
+        """Replace the versions in use with dumped ones.
+
+        Of a snapshot of an earlier release, those that were rolled out are
+        known.
+        """
+        completed = {
+            one.service: one.target
+            for one in self.by_service.values()
+            if one.state == COMPLETED
+        }
+        self._in_use = {**completed, **state}
+
     def _order(
         self, command: SoftwareRolloutCommand, now_ms: int
     ) -> CommandResult:
@@ -171,17 +196,14 @@
         if _is_under_way(known, command):
             # Its trial goes on, with the time that the new order leaves.
             return accepted(number=known.number)
-        is_in_use = (
-            known is not None
-            and known.state == COMPLETED
-            and known.target == command.target
-        )
+        if command.in_use:
+            self._in_use.setdefault(command.service, command.in_use)
+        is_in_use = self.in_use(command.service) == command.target
         self._note_rejected(known, command)
         self.by_service[command.service] = SoftwareRolloutState(
             service=command.service,
             target=command.target,
             state=ACTIVE,
-            # The replicas of the version before are gone.
             share_permille=_WHOLE_PERMILLE if is_in_use else 0,
             number=number,
             ordered_at_ms=now_ms,
@@ -219,6 +241,8 @@
             return conflict('another order was given meanwhile')
         if known.state != ACTIVE:
             return duplicate(number=known.number)
+        if command.state == COMPLETED:
+            self._in_use[command.service] = command.target
         known.state = command.state
         known.share_permille = command.share_permille
         known.reason = command.reason
--- a/snipebridge/controllers/state_machine.py
+++ b/snipebridge/controllers/state_machine.py
@@ -132,6 +132,7 @@
                 'routings': self.routing.dump(),
                 'software_rollouts': self.software_rollouts.dump(),
                 'rejected_software': self.software_rollouts.dump_rejected(),
+                'software_in_use': self.software_rollouts.dump_in_use(),
                 'software_orders': self.software_rollouts.dump_orders(),
                 'prompt_quarantines': self.prompt_quarantines.dump(),
                 'evacuations': self.evacuations.dump(),
@@ -155,6 +156,7 @@
         self.routing.load(state.get('routings', [0, '']))
         self.software_rollouts.load(state.get('software_rollouts', []))
         self.software_rollouts.load_rejected(state.get('rejected_software', {}))
+        self.software_rollouts.load_in_use(state.get('software_in_use', {}))
         self.software_rollouts.load_orders(state.get('software_orders', {}))
         self.prompt_quarantines.load(state.get('prompt_quarantines', []))
         self.evacuations.load(state.get('evacuations', []))
--- a/snipebridge/fleet/heartbeats.py
+++ b/snipebridge/fleet/heartbeats.py
@@ -42,7 +42,11 @@
         return
     rollouts = machine.software_rollouts
     reply.software_rollouts.extend(
-        _rollout(one, rollouts.rejected(one.service))
+        _rollout(
+            one,
+            rollouts.rejected(one.service),
+            rollouts.in_use(one.service),
+        )
         for one in rollouts.by_service.values()
     )
     routed.add_draws(request.entry, reply)
@@ -80,7 +84,7 @@
 
 
 def _rollout(
-    state: SoftwareRolloutState, rejected: Sequence[str]
+    state: SoftwareRolloutState, rejected: Sequence[str], in_use: str
 ) -> SoftwareRollout:
     return SoftwareRollout(
         service=state.service,
@@ -89,4 +93,5 @@
         number=state.number,
         state=state.state,
         rejected=rejected,
+        in_use=in_use,
     )
--- a/snipebridge/fleet/software.py
+++ b/snipebridge/fleet/software.py
@@ -72,6 +72,9 @@
             if rollout.state == ACTIVE:
                 orders = rollouts.orders(rollout.service)
                 view = self._view(rollout, orders, evidence, listed)
+                view.is_in_use = (
+                    rollouts.in_use(rollout.service) == rollout.target
+                )
                 step = decide(view, self._bounds)
                 if step is not None:
                     _log(rollout, view, step)
--- a/snipebridge/policy/software_rollouts.py
+++ b/snipebridge/policy/software_rollouts.py
@@ -78,6 +78,8 @@
     target_replicas: int = 1
     # Whether a replica of another version was listed since the order.
     has_others: bool = True
+    # Whether the target had all traffic before the order.
+    is_in_use: bool = False
     # Time since the last change of the share.
     unchanged_s: float = float('inf')
     target: VersionRecord = field(default_factory=VersionRecord)
@@ -105,7 +107,14 @@
 
 
 def decide(view: RolloutView, bounds: RolloutBounds) -> RolloutStep | None:
-    """Return the next step, or None if nothing changes."""
+    """Return the next step, or None if nothing changes.
+
+    A version in use has no trial: there is no other one to go back to.
+    """
+    if view.is_in_use:
+        is_due = view.elapsed_s >= _end_s(view.duration_s)
+        step = RolloutStep(COMPLETED, WHOLE_PERMILLE, 'in use before')
+        return step if is_due and view.target_replicas else None
     least_share = _least_slow_share(view)
     fault = find_fault(view.target, view.others, least_share) or find_fault(
         view.target_recent, view.others, least_share
--- a/snipebridge/relay/software_selection.py
+++ b/snipebridge/relay/software_selection.py
@@ -200,8 +200,9 @@
             if replica.software == rollout.target
         ]
         others = _other_replicas(rollout, replicas)
-        if rollout.state == COMPLETED:
-            # The old replicas are stopped, so a local stop no longer applies.
+        if rollout.state == COMPLETED or rollout.target == rollout.in_use:
+            # The other replicas are stopped, or of a version whose trial this
+            # order cut short, so a local stop no longer applies.
             return target or others
         if rollout.state == REVERTED or self._is_stopped_locally(service):
             return others
@@ -498,14 +499,17 @@
 ) -> list[Replica]:
     """Return the replicas of the version in use.
 
-    Those of versions that an earlier roll-out rolled back may still be up.
+    Others may still be up: those of versions that an earlier roll-out rolled
+    back or replaced, or whose trial this one cut short.
     """
-    return [
+    others = [
         replica
         for replica in replicas
         if replica.software != rollout.target
         and replica.software not in rollout.rejected
     ]
+    in_use = [one for one in others if one.software == rollout.in_use]
+    return in_use or others
 
 
 def _canary_replicas(
--- a/tests/fleet/test_software.py
+++ b/tests/fleet/test_software.py
@@ -8,7 +8,7 @@
 from snipebridge.fleet.software import SoftwareDuty
 from snipebridge.policy.software_rollouts import RolloutBounds
 from snipebridge.rpc.commands_pb2 import SoftwareRolloutCommand
-from snipebridge.rpc.control_pb2 import ListedReplica
+from snipebridge.rpc.control_pb2 import ListedReplica, SoftwareOutcome
 from tests.clocks import ManualClock
 
 
@@ -76,3 +76,37 @@
     clock.now_s = 6.0
     order(40.0, 2)
     assert 35.0 < end_s() < 46.0
+
+
+def test_order_of_the_version_in_use_is_not_rolled_back():
+    """Guards against requests sent to the version it was to replace."""
+    clock = ManualClock(0.0)
+    duty = SoftwareDuty(clock, RolloutBounds(0.15))
+    rollouts = SoftwareRollouts()
+    rollouts.load_in_use({'s': 'v1'})
+    evidence = SoftwareEvidence()
+    evidence.take(
+        'e1',
+        [
+            SoftwareOutcome(
+                service='s', software=name, rollout=1, answered=90, failed=bad
+            )
+            for name, bad in (('v1', 60), ('v2', 0))
+        ],
+    )
+    listed = [
+        ListedReplica(id=name, service='s', software=name)
+        for name in ('v1', 'v2')
+    ]
+    order = SoftwareRolloutCommand(
+        service='s', target='v1', state='active', duration_s=24, number=1
+    )
+    rollouts.apply(order, 0)
+    while rollouts.by_service['s'].state == 'active':
+        assert rollouts.by_service['s'].share_permille == 1000
+        for one in duty.commands(rollouts, evidence, listed):
+            rollouts.apply(one.software_rollout, 0)
+        clock.now_s += 0.2
+        assert clock.now_s < 24
+    assert rollouts.by_service['s'].state == 'completed'
+    assert clock.now_s > 20
--- a/tests/relay/test_software_selection.py
+++ b/tests/relay/test_software_selection.py
@@ -306,6 +306,39 @@
     assert versions(choice, 'session', replicas=NEW, now_s=1.0) == set()
 
 
+def test_version_that_was_replaced_is_not_in_use_beside_the_next_one():
+    """Guards against sessions moved back while old replicas are listed."""
+    replicas = OLD + NEW + [Replica('b0', 's', 'x:1', 'a', 'v3', 4)]
+    choice = SoftwareSelector(5.0)
+    rollout = SoftwareRollout(
+        service='s', target='v3', number=2, state='active', in_use='v2'
+    )
+    choice.apply_rollouts([rollout])
+    assert versions(choice, replicas=replicas) == {'v2'}
+    # Where none of its replicas is left, any other one is better than none.
+    assert versions(choice, replicas=OLD + replicas[-1:]) == {'v1'}
+
+
+@pytest.mark.parametrize('state', ['active', 'reverted'])
+def test_order_back_to_the_version_in_use_ends_the_trial_beside_it(state):
+    """Guards against a bad version that gets what the one in use had."""
+    choice = SoftwareSelector(5.0)
+    apply_rollout(choice, share_permille=100)
+    choice.record_use(NEW[0], 'session', 0.0)
+    choice.apply_rollouts(
+        [
+            SoftwareRollout(
+                service='s', target='v1', number=2, state=state, in_use='v1'
+            )
+        ]
+    )
+    found = set()
+    for number in range(100):
+        found |= versions(choice, hash_key=f'k{number}')
+    assert found == {'v1'}
+    assert versions(choice, 'session', now_s=1.0) == {'v1'}
+
+
 @pytest.mark.parametrize('entries', [1, 6, 83, 191, 340])
 def test_trial_keeps_its_share_when_other_replicas_take_few_requests(entries):
     """Requests that are refused there do not reach the service."""
